--- /dev/null
+++ b/Makefile
@@ -0,0 +1,30 @@
+PACKAGES := model policy wire platform entry agent cli standins
+VENV := .venv
+PYTHON := $(VENV)/bin/python
+READY := $(VENV)/ready
+
+.PHONY: demo test lint bench slopes binary
+
+$(READY): requirements.txt requirements-dev.txt $(wildcard packages/*/pyproject.toml)
+	test -x $(PYTHON) || python3 -m venv $(VENV)
+	$(PYTHON) -m pip install -q -r requirements-dev.txt
+	$(PYTHON) -m pip install -q --no-build-isolation --no-deps \
+		$(foreach package,$(PACKAGES),-e packages/$(package))
+	touch $(READY)
+
+demo: $(READY)
+	$(PYTHON) -m samphiredeal.standins.demo
+
+test: $(READY)
+	$(PYTHON) -m pytest
+	$(PYTHON) tests/known_red.py
+
+lint: $(READY)
+	$(VENV)/bin/ruff check .
+	$(VENV)/bin/ruff format --check .
+
+bench: $(READY)
+	$(PYTHON) -m bench.main
+
+slopes: $(READY)
+	$(PYTHON) -m bench.slopes
--- /dev/null
+++ b/packages/agent/src/samphiredeal/agent/__init__.py
@@ -0,0 +1,1 @@
+"""The process beside each upstream: the last word on whether work may start."""
--- /dev/null
+++ b/packages/agent/src/samphiredeal/agent/drivers.py
@@ -0,0 +1,119 @@
+"""HTTP drivers: how an agent reaches the executor or worker runtime beside it."""
+
+from io import BytesIO
+
+import msgspec
+from twisted.internet.defer import ensureDeferred
+from twisted.internet.error import ConnectError, ConnectionRefusedError
+from twisted.internet.task import LoopingCall, deferLater
+from twisted.web.client import Agent as HttpAgent
+from twisted.web.client import FileBodyProducer, HTTPConnectionPool, readBody
+
+from samphiredeal.agent.requests import NeverSent
+
+CONNECT_TIMEOUT_S = 1.0
+POLL_S = 0.5
+# The runtime stops a task whose lease is not renewed for this long.
+TASK_LEASE_S = 5.0
+_CALL_TIMEOUT_S = 2.0
+
+
+class HttpCaller:
+    """Sends HTTP requests to one base URL over kept connections."""
+
+    def __init__(self, reactor, base_url, connections):
+        pool = HTTPConnectionPool(reactor)
+        pool.maxPersistentPerHost = connections
+        # A request must never be sent twice behind the agent's back.
+        pool.retryAutomatically = False
+        self._reactor = reactor
+        self._base_url = base_url.rstrip("/").encode()
+        self._agent = HttpAgent(reactor, connectTimeout=CONNECT_TIMEOUT_S, pool=pool)
+
+    def call(self, method, path, body, timeout_s):
+        """Return a Deferred of (status, body)."""
+        exchange = ensureDeferred(self._exchange(method, path, body))
+        return exchange.addTimeout(timeout_s, self._reactor)
+
+    async def _exchange(self, method, path, body):
+        producer = FileBodyProducer(BytesIO(body)) if body is not None else None
+        url = self._base_url + path.encode()
+        response = await self._agent.request(method, url, bodyProducer=producer)
+        return response.code, await readBody(response)
+
+
+def executor_driver(caller):
+    """Return the `run` function of a request side for an HTTP executor."""
+
+    async def run(body, budget_s):
+        try:
+            return await caller.call(b"POST", "/", body, max(budget_s, 1.0) * 2)
+        except (ConnectionRefusedError, ConnectError) as error:
+            raise NeverSent(str(error)) from error
+
+    return run
+
+
+class HttpRuntime:
+    """The worker runtime over HTTP: tasks under leases, polled for their end."""
+
+    def __init__(self, reactor, caller, on_ended, on_usage=lambda usage: None):
+        self._reactor = reactor
+        self._caller = caller
+        self._on_ended = on_ended
+        self._on_usage = on_usage
+        self._running = set()
+        self._poll = LoopingCall(lambda: ensureDeferred(self._look()))
+        self._poll.clock = reactor
+        self._poll.start(POLL_S, now=False)
+
+    async def start(self, attempt_id, job, count):
+        """Start the members of an attempt as one task of the runtime."""
+        body = {"job": job, "count": count, "lease_s": TASK_LEASE_S}
+        status, text = await self._call(b"PUT", f"/tasks/{attempt_id}", body)
+        if status != 200:
+            raise RuntimeError(f"the runtime answered {status}: {text[:100]!r}")
+        self._running.add(attempt_id)
+
+    async def stop(self, attempt_id, checkpoint, grace_s):
+        """Stop a task and return the seconds of work that its checkpoint kept."""
+        self._running.discard(attempt_id)
+        body = {"checkpoint": checkpoint, "grace_s": grace_s}
+        try:
+            status, text = await self._call(
+                b"POST", f"/tasks/{attempt_id}/stop", body, grace_s + _CALL_TIMEOUT_S
+            )
+        except Exception:
+            # Unreachable: its lease, which nobody renews now, ends the task.
+            await deferLater(self._reactor, TASK_LEASE_S)
+            return 0.0
+        return msgspec.json.decode(text)["kept_s"] if status == 200 else 0.0
+
+    async def reset(self):
+        """Stop whatever an agent before this one has left running."""
+        try:
+            await self._call(b"POST", "/reset", {})
+        except Exception:
+            # Unreachable: the leases of what runs there end it.
+            await deferLater(self._reactor, TASK_LEASE_S)
+
+    async def throttle(self, attempt_id, share):
+        """Limit a task to a share of its processors, 0 to 1."""
+        await self._call(b"POST", f"/tasks/{attempt_id}/throttle", {"share": share})
+
+    async def _look(self):
+        """Renew the leases of what should run and take in what has ended."""
+        body = {"renew": sorted(self._running)}
+        try:
+            _status, text = await self._call(b"POST", "/tasks", body)
+        except Exception:
+            return
+        document = msgspec.json.decode(text)
+        for attempt_id, task in document["tasks"].items():
+            if attempt_id in self._running and task["state"] != "running":
+                self._running.discard(attempt_id)
+                self._on_ended(attempt_id, task["state"] == "done", task["detail"])
+        self._on_usage(document["usage"])
+
+    def _call(self, method, path, body, timeout_s=_CALL_TIMEOUT_S):
+        return self._caller.call(method, path, msgspec.json.encode(body), timeout_s)
--- /dev/null
+++ b/packages/agent/src/samphiredeal/agent/node.py
@@ -0,0 +1,346 @@
+"""The agent: links to entries, heartbeats, leases and the drain.
+
+An executor's agent keeps a link to every entry; a worker's agent keeps one to
+its home entry, the first by rendezvous hash that answers, entries in its own
+availability zone before others. A link that gives no reply to a heartbeat
+within a bound is taken as dead, although it may still look open, and replaced.
+"""
+
+import hashlib
+from typing import NamedTuple
+
+import msgspec
+from twisted.internet.defer import ensureDeferred
+from twisted.internet.task import LoopingCall, deferLater
+
+from samphiredeal.agent.permits import PermitBook
+from samphiredeal.model import verdict
+from samphiredeal.wire import codec
+from samphiredeal.wire.messages import (
+    EXECUTOR,
+    PROTOCOL_VERSION,
+    AnswerAck,
+    ConfigSlice,
+    Dispatch,
+    EndedAck,
+    FromAgent,
+    Heartbeat,
+    HeartbeatReply,
+    Hello,
+    HelloRefused,
+    Query,
+    Relay,
+    Reserve,
+    Start,
+    Stop,
+)
+
+HEARTBEAT_S = 0.5
+# A link without a reply for this long is replaced by a new one.
+LINK_SILENCE_S = 2.0
+RECONNECT_S = 0.5
+# Members stop by themselves when no entry has answered for this long; an entry
+# counts the agent as lost only after a longer time.
+MEMBER_LEASE_S = 8.0
+
+
+class AgentIdentity(NamedTuple):
+    """What an agent tells of itself. `kind` is ``executor`` or ``worker``."""
+
+    name: str
+    kind: str
+    zone: str
+    rack: str
+    incarnation: str
+    capacity: tuple = (0, 0, 0)
+    slots: int = 0
+    labels: dict = {}
+
+
+class EntryAddress(NamedTuple):
+    """An entry as agents know it."""
+
+    name: str
+    address: str
+    zone: str
+
+
+def rendezvous_order(agent_name, zone, entries):
+    """Return entries by preference: same zone first, then highest hash.
+
+    Every agent ranks independently, so the agents of an entry that dies spread
+    evenly over the others, and come back to it when it returns.
+    """
+
+    def rank(entry):
+        text = f"{agent_name}|{entry.name}".encode()
+        return (entry.zone != zone, hashlib.blake2b(text, digest_size=8).digest())
+
+    return sorted(entries, key=rank)
+
+
+class _Uplink:
+    """The state of one link to an entry."""
+
+    def __init__(self, entry, link, now):
+        self.entry = entry
+        self.link = link
+        self.replied_at = now
+        self.greeted = False
+
+
+class Agent:
+    """Joins the request side or the member side of an agent to its entries.
+
+    `connect(address)` returns a Deferred of a link. Sides are made by the
+    caller with this agent's `permits` and `gate` and set by `attach`.
+    """
+
+    def __init__(self, clock, identity, entries, connect):
+        self._clock = clock
+        self._identity = identity
+        self._entries = {entry.name: entry for entry in entries}
+        self._connect = connect
+        self._permits = PermitBook(clock)
+        self._uplinks = {}
+        self._dialling = set()
+        self._slice = ConfigSlice(0, False, b"{}")
+        self._leaving = False
+        self._stopped = False
+        self._contact_at = clock.seconds()
+        self._requests = None
+        self._members = None
+        self._beat = LoopingCall(self._tick)
+        self._beat.clock = clock
+
+    @property
+    def permits(self):
+        """The permit book; the sides check against it."""
+        return self._permits
+
+    @property
+    def revision(self):
+        """The revision of the configuration in force here."""
+        return self._slice.revision
+
+    @property
+    def linked(self):
+        """The names of entries that a live link leads to, in order."""
+        return sorted(u.entry.name for u in self._uplinks.values() if u.greeted)
+
+    @property
+    def leaving(self):
+        """Whether a planned stop has begun."""
+        return self._leaving
+
+    def attach(self, requests=None, members=None):
+        """Set the side that this agent serves."""
+        self._requests = requests
+        self._members = members
+
+    def gate(self):
+        """Return the reason to refuse all new work, or None."""
+        if self._leaving:
+            return verdict.LEAVING
+        return verdict.ZONE_OUT if self._slice.zone_out else None
+
+    def start(self):
+        """Begin to dial entries and send heartbeats."""
+        self._beat.start(HEARTBEAT_S, now=True)
+
+    def notify(self, message):
+        """Send a message to the scheduler by way of the home entry."""
+        identity = self._identity
+        wrapped = FromAgent(identity.name, identity.incarnation, codec.encode(message))
+        for uplink in self._uplinks.values():
+            if uplink.greeted:
+                uplink.link.send(wrapped)
+                return
+
+    async def drain(self, grace_s):
+        """Leave: take nothing new, finish what runs within the grace, close."""
+        self._leaving = True
+        self._send_heartbeats()
+        give_up_at = self._clock.seconds() + grace_s
+        while not self._idle() and self._clock.seconds() < give_up_at:
+            await deferLater(self._clock, HEARTBEAT_S)
+        await deferLater(self._clock, HEARTBEAT_S)
+        self.stop()
+
+    def stop(self):
+        """Close every link at once."""
+        self._stopped = True
+        if self._beat.running:
+            self._beat.stop()
+        for uplink in list(self._uplinks.values()):
+            uplink.link.close()
+        self._uplinks.clear()
+
+    def _idle(self):
+        side = self._requests or self._members
+        return side is None or side.idle
+
+    def _tick(self):
+        self._drop_silent_links()
+        self._dial_missing()
+        self._send_heartbeats()
+        if self._requests is not None:
+            self._requests.expire()
+        if self._members is not None:
+            self._members.tick()
+            if self._clock.seconds() - self._contact_at > MEMBER_LEASE_S:
+                self._members.stop_all()
+
+    def _drop_silent_links(self):
+        limit = self._clock.seconds() - LINK_SILENCE_S
+        for name, uplink in list(self._uplinks.items()):
+            if uplink.replied_at < limit:
+                del self._uplinks[name]
+                uplink.link.close()
+
+    def _wanted_entries(self):
+        """Return the entries to keep links to; for a worker's agent, one."""
+        ordered = rendezvous_order(
+            self._identity.name, self._identity.zone, self._entries.values()
+        )
+        if self._identity.kind == EXECUTOR:
+            return ordered
+        linked = [entry for entry in ordered if entry.name in self._uplinks]
+        return linked[:1] or ordered
+
+    def _dial_missing(self):
+        for entry in self._wanted_entries():
+            if entry.name not in self._uplinks and entry.name not in self._dialling:
+                self._dialling.add(entry.name)
+                ensureDeferred(self._dial(entry))
+                if self._identity.kind != EXECUTOR and len(self._dialling) >= 2:
+                    return
+
+    async def _dial(self, entry):
+        try:
+            link = await self._connect(entry.address)
+        except Exception:
+            await deferLater(self._clock, RECONNECT_S)
+            self._dialling.discard(entry.name)
+            return
+        self._dialling.discard(entry.name)
+        surplus = self._identity.kind != EXECUTOR and self._uplinks
+        if self._stopped or surplus:
+            link.close()
+            return
+        uplink = _Uplink(entry, link, self._clock.seconds())
+        link.on_message = lambda _link, message: self._on_message(uplink, message)
+        link.on_lost = lambda _link: self._on_lost(uplink)
+        self._uplinks[entry.name] = uplink
+        self._greet(link)
+
+    def _greet(self, link):
+        identity = self._identity
+        document = {
+            "kind": identity.kind,
+            "rack": identity.rack,
+            "capacity": list(identity.capacity),
+            "slots": identity.slots,
+            "labels": identity.labels,
+        }
+        link.send(
+            Hello(
+                PROTOCOL_VERSION,
+                "agent",
+                identity.name,
+                identity.zone,
+                identity.incarnation,
+                msgspec.json.encode(document),
+            )
+        )
+
+    def _send_heartbeats(self):
+        for uplink in self._uplinks.values():
+            uplink.link.send(
+                Heartbeat(
+                    self._permits.issue(),
+                    self._requests.free if self._requests else 0,
+                    self._leaving,
+                    self.revision,
+                    self._members.epoch if self._members else 0,
+                    self.linked if self._identity.kind == EXECUTOR else [],
+                )
+            )
+
+    def _on_lost(self, uplink):
+        if self._uplinks.get(uplink.entry.name) is uplink:
+            del self._uplinks[uplink.entry.name]
+
+    def _on_message(self, uplink, message):
+        now = self._clock.seconds()
+        if isinstance(message, HelloRefused):
+            uplink.link.close()
+            return
+        if isinstance(message, Hello):
+            self._on_greeted(uplink, message)
+        uplink.replied_at = now
+        self._contact_at = now
+        self._handle(uplink, message)
+
+    def _on_greeted(self, uplink, hello):
+        uplink.greeted = True
+        if hello.name != uplink.entry.name:
+            self._rename(uplink, hello)
+        if self._members is not None:
+            self._members.report()
+
+    def _rename(self, uplink, hello):
+        """Take the entry's own name in place of the one from the settings."""
+        old = uplink.entry
+        self._uplinks.pop(old.name, None)
+        self._entries.pop(old.name, None)
+        uplink.entry = old._replace(name=hello.name, zone=hello.zone)
+        self._entries[hello.name] = uplink.entry
+        double = self._uplinks.pop(hello.name, None)
+        self._uplinks[hello.name] = uplink
+        if double is not None:
+            double.link.close()
+
+    def _handle(self, uplink, message):
+        if isinstance(message, HeartbeatReply):
+            self._on_heartbeat_reply(message)
+        elif isinstance(message, ConfigSlice):
+            self._on_config(message)
+        elif isinstance(message, Relay) and self._members is not None:
+            self._on_member_message(message)
+        elif self._requests is not None:
+            self._on_request_message(uplink, message)
+
+    def _on_request_message(self, uplink, message):
+        if isinstance(message, Dispatch):
+            self._requests.on_dispatch(uplink.link, message, self.revision)
+        elif isinstance(message, Query):
+            self._requests.on_query(uplink.link, message)
+        elif isinstance(message, AnswerAck):
+            self._requests.on_answer_ack(message.dispatch_id)
+
+    def _on_heartbeat_reply(self, reply):
+        if reply.entries:
+            self._learn_entries(reply.entries)
+        if self._members is not None:
+            self._members.raise_epoch(reply.epoch)
+
+    def _learn_entries(self, data):
+        known = [EntryAddress(*fields) for fields in msgspec.json.decode(data)]
+        if known:
+            self._entries = {entry.name: entry for entry in known}
+
+    def _on_config(self, message):
+        if message.revision >= self._slice.revision:
+            self._slice = message
+
+    def _on_member_message(self, relay):
+        message = codec.decode(relay.payload)
+        if isinstance(message, Reserve):
+            self._members.on_reserve(message, self.revision)
+        elif isinstance(message, Start):
+            self._members.on_start(message, self.revision)
+        elif isinstance(message, Stop):
+            self._members.on_stop(message)
+        elif isinstance(message, EndedAck):
+            self._members.on_ended_ack(message.attempt)
--- /dev/null
+++ b/packages/cli/src/samphiredeal/cli/main.py
@@ -0,0 +1,36 @@
+"""The command line. Long-running roles start before porcelain is imported."""
+
+import sys
+
+_ROLES = ("entry", "agent")
+
+
+def main():
+    """Run the command that the arguments name; returns the exit status."""
+    arguments = sys.argv[1:]
+    if arguments == ["--version"]:
+        from samphiredeal.cli import __version__
+
+        print(__version__)
+        return 0
+    if len(arguments) == 2 and arguments[0] in _ROLES:
+        return _run_role(*arguments)
+    from samphiredeal.cli import porcelain
+
+    return porcelain.run(arguments)
+
+
+def _run_role(role, path):
+    from samphiredeal.cli import roles
+    from samphiredeal.cli.settings import SettingsError
+
+    try:
+        {"entry": roles.run_entry, "agent": roles.run_agent}[role](path)
+    except SettingsError as error:
+        print(error, file=sys.stderr)
+        return 2
+    return 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- /dev/null
+++ b/packages/cli/src/samphiredeal/cli/porcelain.py
@@ -0,0 +1,291 @@
+"""Operator commands over the HTTP API.
+
+Every command takes ``--url`` (an entry's HTTP address, or the variable
+``SAMPHIREDEAL_URL``) and ``--json`` for output that scripts read. A refusal is
+written to standard error and gives exit status 1, wrong usage 2.
+"""
+
+import json
+import os
+import sys
+
+import defopt
+import json5
+
+from samphiredeal.cli import client, settings
+
+DEFAULT_URL = "http://127.0.0.1:8080"
+
+
+class _Output:
+    """How the answer of a command is shown."""
+
+    def __init__(self, as_json):
+        self._as_json = as_json
+
+    def show(self, reply, describe):
+        """Print an answer; return the exit status."""
+        if self._as_json:
+            print(json.dumps(reply.document, indent=2, sort_keys=True))
+        elif reply.accepted:
+            print(describe(reply.document))
+        if reply.accepted:
+            return 0
+        if not self._as_json:
+            print(f"refused ({reply.status}): {_error(reply)}", file=sys.stderr)
+        return 1
+
+
+def _error(reply):
+    if isinstance(reply.document, dict):
+        return reply.document.get("error", reply.document)
+    return reply.document
+
+
+def _url(url):
+    return url or os.environ.get("SAMPHIREDEAL_URL", DEFAULT_URL)
+
+
+def _pretty(document):
+    return json.dumps(document, indent=2, sort_keys=True)
+
+
+def _changed(document):
+    lines = [f"accepted at revision {document['revision']}"]
+    if document["lagging"]:
+        lines.append(f"not yet in force at: {', '.join(document['lagging'])}")
+    lines += [f"warning: {warning}" for warning in document["warnings"]]
+    return "\n".join(lines)
+
+
+def _get(kind):
+    def get(name: str = "", *, url: str = "", json: bool = False):
+        """Show one document, or all of this kind.
+
+        :param name: the document's name; all if left out
+        :param url: an entry's HTTP address
+        :param json: print JSON
+        """
+        reply = client.call(_url(url), "GET", f"/v1/{kind}s/{name}".rstrip("/"))
+        return _Output(json).show(reply, _pretty)
+
+    return get
+
+
+def _put(kind):
+    def put(
+        name: str,
+        document: str,
+        *,
+        if_match: str = "*",
+        url: str = "",
+        json: bool = False,
+    ):
+        """Write a document.
+
+        :param name: the document's name
+        :param document: the document as JSON with comments, or @FILE
+        :param if_match: the version that must still stand
+        :param url: an entry's HTTP address
+        :param json: print JSON
+        """
+        text = document
+        if text.startswith("@"):
+            with open(text[1:], encoding="utf-8") as file:
+                text = file.read()
+        try:
+            parsed = json5.loads(text)
+        except ValueError as error:
+            print(f"document: {error}", file=sys.stderr)
+            return 2
+        return _write(url, json, f"/v1/{kind}s/{name}", parsed, if_match)
+
+    return put
+
+
+def _delete(kind):
+    def delete(name: str, *, if_match: str = "*", url: str = "", json: bool = False):
+        """Delete a document.
+
+        :param name: the document's name
+        :param if_match: the version that must still stand
+        :param url: an entry's HTTP address
+        :param json: print JSON
+        """
+        reply = client.call(
+            _url(url), "DELETE", f"/v1/{kind}s/{name}", headers={"If-Match": if_match}
+        )
+        return _Output(json).show(reply, _changed)
+
+    return delete
+
+
+def _write(url, as_json, path, document, if_match="*"):
+    headers = {"If-Match": if_match}
+    reply = client.call(_url(url), "PUT", path, document, headers)
+    return _Output(as_json).show(reply, _changed)
+
+
+def _mark_zone(state):
+    def mark(name: str, *, url: str = "", json: bool = False):
+        """Mark an availability zone.
+
+        :param name: the zone's name
+        :param url: an entry's HTTP address
+        :param json: print JSON
+        """
+        return _write(url, json, f"/v1/zones/{name}", {"state": state})
+
+    mark.__doc__ = mark.__doc__.replace("zone.", f"zone {state}.", 1)
+    return mark
+
+
+def submit(document: str, *, url: str = "", json: bool = False):
+    """Submit a job.
+
+    :param document: the job as JSON with comments, or @FILE
+    :param url: an entry's HTTP address
+    :param json: print JSON
+    """
+    text = document
+    if text.startswith("@"):
+        with open(text[1:], encoding="utf-8") as file:
+            text = file.read()
+    reply = client.call(_url(url), "POST", "/v1/jobs", json5.loads(text))
+    return _Output(json).show(reply, lambda d: f"job {d['id']} is {d['state']}")
+
+
+def show_job(id: str, *, url: str = "", json: bool = False):
+    """Show a job.
+
+    :param id: the job's id
+    :param url: an entry's HTTP address
+    :param json: print JSON
+    """
+    reply = client.call(_url(url), "GET", f"/v1/jobs/{id}")
+    return _Output(json).show(reply, _pretty)
+
+
+def explain_job(id: str, *, url: str = "", json: bool = False):
+    """Tell why a job waits, what would let it run and whom it may displace.
+
+    :param id: the job's id
+    :param url: an entry's HTTP address
+    :param json: print JSON
+    """
+    reply = client.call(_url(url), "GET", f"/v1/jobs/{id}")
+
+    def describe(document):
+        told = document.get("explain") or {"why": document["reason"]}
+        lines = [f"job {id}: {told.get('state', document['state'])}"]
+        lines += [f"  {key}: {value}" for key, value in told.items() if value != ""]
+        return "\n".join(lines)
+
+    return _Output(json).show(reply, describe)
+
+
+def list_jobs(
+    *,
+    state: str = "active",
+    account: str = "",
+    after: str = "",
+    limit: int = 100,
+    url: str = "",
+    json: bool = False,
+):
+    """List jobs.
+
+    :param state: active or ended
+    :param account: only this client account's
+    :param after: start after this id
+    :param limit: how many at most
+    :param url: an entry's HTTP address
+    :param json: print JSON
+    """
+    path = f"/v1/jobs?state={state}&account={account}&after={after}&limit={limit}"
+    reply = client.call(_url(url), "GET", path)
+
+    def describe(document):
+        rows = [
+            f"{j['id']:30} {j['state']:10} {j['job']['account']:16} "
+            f"{j['job']['members']} x {j['job']['accelerators']} {j['reason']}"
+            for j in document["jobs"]
+        ]
+        return "\n".join(rows) or "no jobs"
+
+    return _Output(json).show(reply, describe)
+
+
+def cancel_job(id: str, *, url: str = "", json: bool = False):
+    """Cancel a job.
+
+    :param id: the job's id
+    :param url: an entry's HTTP address
+    :param json: print JSON
+    """
+    reply = client.call(_url(url), "DELETE", f"/v1/jobs/{id}")
+    return _Output(json).show(reply, lambda d: f"job {id}: cancellation accepted")
+
+
+def show_config(*, url: str = "", json: bool = False):
+    """Show the revision, whether it is in force everywhere, and who lags.
+
+    :param url: an entry's HTTP address
+    :param json: print JSON
+    """
+    reply = client.call(_url(url), "GET", "/v1/config")
+    return _Output(json).show(reply, _pretty)
+
+
+def check(path: str, *, json: bool = False):
+    """Check a settings file and print the effective settings.
+
+    :param path: the settings file of an entry or an agent
+    :param json: print JSON
+    """
+    try:
+        with open(path, encoding="utf-8") as file:
+            document = json5.load(file)
+        schema = settings.schema_of(document if isinstance(document, dict) else {})
+        effective = settings.load(path, schema)
+    except settings.SettingsError as error:
+        print(error, file=sys.stderr)
+        return 1
+    except (OSError, ValueError) as error:
+        print(f"{path}: {error}", file=sys.stderr)
+        return 1
+    print(_pretty(effective))
+    return 0
+
+
+def _documents(kind):
+    return {"get": _get(kind), "put": _put(kind), "delete": _delete(kind)}
+
+
+COMMANDS = {
+    "account": _documents("account"),
+    "zone": {
+        **_documents("zone"),
+        "out": _mark_zone("out"),
+        "in": _mark_zone("in"),
+    },
+    "worker": _documents("worker"),
+    "job": {
+        "submit": submit,
+        "show": show_job,
+        "explain": explain_job,
+        "list": list_jobs,
+        "cancel": cancel_job,
+    },
+    "config": {"show": show_config},
+    "check": check,
+}
+
+
+def run(arguments):
+    """Run a porcelain command; return the exit status."""
+    try:
+        return defopt.run(COMMANDS, argv=arguments, cli_options="has_default") or 0
+    except OSError as error:
+        print(f"no entry answers: {error}", file=sys.stderr)
+        return 1
--- /dev/null
+++ b/packages/cli/src/samphiredeal/cli/roles.py
@@ -0,0 +1,142 @@
+"""Starting an entry or an agent from its settings."""
+
+import random
+
+from eliot import log_message
+from twisted.internet import reactor
+from twisted.internet.defer import ensureDeferred
+from twisted.internet.task import deferLater
+
+from samphiredeal.cli import runtime, settings
+from samphiredeal.wire import link
+
+# Between the end of a drain and the end of the process, for last answers.
+_FLUSH_S = 0.2
+
+
+def run_entry(path):
+    """Run an entry until it is told to stop."""
+    from samphiredeal.entry.api import make_api
+    from samphiredeal.entry.http import make_site
+    from samphiredeal.entry.metrics import Metrics
+    from samphiredeal.entry.node import EntryIdentity, EntryNode
+    from samphiredeal.platform.client import HttpObjects, HttpPlatform, HttpTable
+
+    options = settings.load(path, settings.EntrySettings)
+    runtime.log_to_stdout()
+    clock = runtime.MonotonicClock()
+    identity = EntryIdentity(
+        options["name"],
+        options["zone"],
+        options["region"],
+        options["address"] or f"{options['host']}:{options['port']}",
+        runtime.new_incarnation(),
+    )
+    platform = HttpPlatform(reactor, options["platform_url"])
+    choose = random.Random()
+    node = EntryNode(
+        clock,
+        identity,
+        HttpTable(platform),
+        HttpObjects(platform),
+        lambda address: link.connect(reactor, address),
+        lambda sessions: choose.choices(sessions, k=2),
+    )
+    metrics = Metrics("entry", identity.name)
+    site = make_site(make_api(node, metrics, clock))
+    listening = []
+
+    async def begin():
+        port = await link.listen(reactor, options["host"], options["port"], node.accept)
+        listening.append(port)
+        http_host = options["http_host"] or options["host"]
+        listening.append(
+            reactor.listenTCP(options["http_port"], site, interface=http_host)
+        )
+        node.start()
+        log_message(message_type="entry_started", name=identity.name)
+
+    async def drain():
+        await node.drain(options["drain_grace_s"])
+        await deferLater(reactor, _FLUSH_S)
+
+    runtime.stop_on_sigterm(drain)
+    reactor.callWhenRunning(lambda: ensureDeferred(begin()).addErrback(_fail))
+    reactor.run(installSignalHandlers=False)
+
+
+def run_agent(path):
+    """Run an agent until it is told to stop."""
+    from samphiredeal.agent.node import Agent, AgentIdentity, EntryAddress
+
+    options = settings.load(path, settings.AgentSettings)
+    runtime.log_to_stdout()
+    clock = runtime.MonotonicClock()
+    capacity = options["capacity"]
+    identity = AgentIdentity(
+        options["name"],
+        options["kind"],
+        options["zone"],
+        options["rack"],
+        runtime.new_incarnation(),
+        (capacity["cpu_milli"], capacity["memory_mb"], capacity["accelerators"]),
+        options["slots"],
+        options["labels"],
+    )
+    entries = [EntryAddress(address, address, "") for address in options["entries"]]
+    agent = Agent(
+        clock, identity, entries, lambda address: link.connect(reactor, address)
+    )
+
+    async def begin():
+        await _attach(agent, identity, options, clock)
+        agent.start()
+        log_message(message_type="agent_started", name=identity.name)
+
+    async def drain():
+        await agent.drain(options["drain_grace_s"])
+        await deferLater(reactor, _FLUSH_S)
+
+    runtime.stop_on_sigterm(drain)
+    reactor.callWhenRunning(lambda: ensureDeferred(begin()).addErrback(_fail))
+    reactor.run(installSignalHandlers=False)
+
+
+async def _attach(agent, identity, options, clock):
+    """Make the side that fits the kind of upstream and attach it."""
+    from samphiredeal.agent.drivers import HttpCaller, HttpRuntime, executor_driver
+    from samphiredeal.agent.members import MemberSide
+    from samphiredeal.agent.requests import RequestSide
+    from samphiredeal.model.shape import Shape
+
+    caller = HttpCaller(reactor, options["upstream_url"], options["connections"])
+    if identity.kind == "executor":
+        run = executor_driver(caller)
+        side = RequestSide(
+            clock,
+            agent.permits,
+            identity.incarnation,
+            options["slots"],
+            run,
+            agent.gate,
+        )
+        agent.attach(requests=side)
+        return
+    driver = HttpRuntime(reactor, caller, lambda *ended: side.on_task_ended(*ended))
+    await driver.reset()
+    side = MemberSide(
+        clock,
+        agent.permits,
+        Shape(*identity.capacity),
+        driver,
+        agent.notify,
+        agent.gate,
+    )
+    agent.attach(members=side)
+
+
+def _fail(failure):
+    """End the process: it could not start."""
+    log_message(message_type="start_failed", reason=failure.getTraceback())
+    if reactor.running:
+        reactor.stop()
--- /dev/null
+++ b/packages/cli/src/samphiredeal/cli/settings.py
@@ -0,0 +1,134 @@
+"""Settings: JSON with comments, checked; unknown keys are refused.
+
+>>> load("entry.json", EntrySettings)  # doctest: +SKIP
+"""
+
+from typing import NotRequired, TypedDict, get_args, get_origin, get_type_hints
+
+import json5
+import msgspec
+
+
+class EntrySettings(TypedDict):
+    """Settings of an entry. Times are in seconds."""
+
+    name: str
+    zone: str
+    region: str
+    host: str
+    port: int
+    http_port: int
+    platform_url: str
+    address: NotRequired[str]
+    http_host: NotRequired[str]
+    drain_grace_s: NotRequired[float]
+
+
+class CapacitySettings(TypedDict):
+    """What a worker has."""
+
+    cpu_milli: int
+    memory_mb: int
+    accelerators: int
+
+
+class AgentSettings(TypedDict):
+    """Settings of an agent. `kind` is ``executor`` or ``worker``."""
+
+    name: str
+    kind: str
+    zone: str
+    entries: list[str]
+    upstream_url: str
+    rack: NotRequired[str]
+    slots: NotRequired[int]
+    connections: NotRequired[int]
+    capacity: NotRequired[CapacitySettings]
+    labels: NotRequired[dict[str, str]]
+    drain_grace_s: NotRequired[float]
+
+
+ENTRY_DEFAULTS = {"http_host": "", "address": "", "drain_grace_s": 30.0}
+AGENT_DEFAULTS = {
+    "rack": "",
+    "slots": 8,
+    "connections": 60,
+    "capacity": {"cpu_milli": 0, "memory_mb": 0, "accelerators": 0},
+    "labels": {},
+    "drain_grace_s": 30.0,
+}
+
+_PORTS = range(65536)
+_KINDS = ("executor", "worker")
+
+
+class SettingsError(ValueError):
+    """The settings are wrong; `faults` lists each with its path and value."""
+
+    def __init__(self, path, faults):
+        super().__init__("\n".join(f"{path}: {fault}" for fault in faults))
+        self.faults = faults
+
+
+def load(path, schema):
+    """Return the checked settings of a file with defaults filled in.
+
+    Raises `SettingsError`, which lists every unknown key and the first value
+    that does not fit.
+    """
+    try:
+        with open(path, encoding="utf-8") as file:
+            document = json5.load(file)
+    except OSError as error:
+        raise SettingsError(path, [f"cannot be read: {error.strerror}"]) from error
+    except ValueError as error:
+        raise SettingsError(path, [f"not JSON with comments: {error}"]) from error
+    faults = list(_unknown_keys(document, schema, ""))
+    if not faults:
+        faults = list(_faults(document, schema))
+    if faults:
+        raise SettingsError(path, faults)
+    defaults = ENTRY_DEFAULTS if schema is EntrySettings else AGENT_DEFAULTS
+    return {**defaults, **document}
+
+
+def _unknown_keys(value, schema, path):
+    """Yield a fault for each key that the schema does not name."""
+    if not isinstance(value, dict):
+        yield f"{path or 'settings'}: expected an object, got {value!r}"
+        return
+    hints = get_type_hints(schema)
+    for key, item in value.items():
+        where = f"{path}.{key}" if path else key
+        if key not in hints:
+            yield f"{where}: unknown key"
+        elif hasattr(_bare(hints[key]), "__required_keys__"):
+            yield from _unknown_keys(item, _bare(hints[key]), where)
+
+
+def _bare(hint):
+    """Return a type hint without `NotRequired`."""
+    return get_args(hint)[0] if get_origin(hint) is NotRequired else hint
+
+
+def _faults(document, schema):
+    try:
+        msgspec.convert(document, schema)
+    except msgspec.ValidationError as error:
+        yield str(error)
+        return
+    for key in ("port", "http_port"):
+        if key in document and document[key] not in _PORTS:
+            yield f"{key}: {document[key]} is not a port"
+    if schema is AgentSettings and document["kind"] not in _KINDS:
+        yield f"kind: {document['kind']!r} is not one of {', '.join(_KINDS)}"
+    if schema is AgentSettings and not document["entries"]:
+        yield "entries: [] names no entry to dial"
+    slots = document.get("slots", 1)
+    if slots < 1:
+        yield f"slots: {slots} is below 1"
+
+
+def schema_of(document):
+    """Return the schema that settings are meant for: an agent's name a kind."""
+    return AgentSettings if "kind" in document else EntrySettings
--- /dev/null
+++ b/packages/entry/src/samphiredeal/entry/claims.py
@@ -0,0 +1,133 @@
+"""Claims: the durable record that lets a request run at most once.
+
+Before a request that is not repeatable is dispatched, a row names the dispatch,
+the agent and its incarnation. Whoever finds the row follows it; only an agent
+that never saw the dispatch may seal it, and only then the row moves on.
+"""
+
+import base64
+from typing import NamedTuple
+
+import msgspec
+
+from samphiredeal.model import verdict
+from samphiredeal.platform.table import (
+    NO_OBJECT,
+    Committed,
+    Condition,
+    Conflict,
+    Put,
+    Row,
+    Unavailable,
+    write_settled,
+)
+
+OPEN = "open"
+DONE = "done"
+VOID = "void"
+UNKNOWN = "unknown"
+
+CLAIM_TIMEOUT_S = 2.0
+INLINE_BODY_BYTES = 16 * 1024
+
+
+class Claim(NamedTuple):
+    """The content of a claim row."""
+
+    dispatch_id: str
+    agent: str
+    incarnation: str
+    permit: int
+    request_digest: str
+    state: str = OPEN
+    verdict: str = ""
+    status: int = 0
+    body: str = ""
+    body_object: str = ""
+
+
+class Held(NamedTuple):
+    """A claim row as read or written, with its version."""
+
+    key: str
+    version: int
+    claim: Claim
+
+
+class Claims:
+    """Claim rows of all accounts."""
+
+    def __init__(self, clock, table, objects):
+        self._clock = clock
+        self._table = table
+        self._objects = objects
+
+    async def open(self, account, key, claim, version=0):
+        """Write a claim over the row's version (0: there must be none).
+
+        Returns (True, `Held`) if it is ours, (False, `Held`) with what stands
+        there instead, or an `Unavailable`.
+        """
+        row_key = f"claim/{account}/{key}"
+        return await self._replace(Held(row_key, version, claim))
+
+    async def close(self, held, state, outcome):
+        """Write how a claim ended; returns like `open`."""
+        claim = held.claim._replace(
+            state=state, verdict=outcome.verdict, status=outcome.status
+        )
+        if len(outcome.body) <= INLINE_BODY_BYTES:
+            claim = claim._replace(body=base64.b64encode(outcome.body).decode())
+        else:
+            name = f"answer/{held.key}/{held.claim.dispatch_id}"
+            stored = await self._objects.put(name, outcome.body)
+            if isinstance(stored, Unavailable):
+                return stored
+            claim = claim._replace(body_object=name)
+        return await self._replace(held._replace(claim=claim))
+
+    async def read(self, account, key):
+        """Return the `Held` of a request key, None if there is none."""
+        row = await self._table.read(f"claim/{account}/{key}")
+        if isinstance(row, Unavailable):
+            return row
+        return _held(row) if row.version else None
+
+    async def outcome_of(self, claim):
+        """Return the outcome that a closed claim keeps, or an `Unavailable`."""
+        body = base64.b64decode(claim.body)
+        if claim.body_object:
+            body = await self._objects.get(claim.body_object)
+            if isinstance(body, Unavailable):
+                return body
+            if body is NO_OBJECT:
+                return verdict.Outcome(claim.verdict, claim.status)
+        return verdict.Outcome(claim.verdict, claim.status, body)
+
+    async def _replace(self, held):
+        value = msgspec.json.encode(held.claim._asdict())
+        answer = await write_settled(
+            self._clock,
+            self._table,
+            [Condition(held.key, held.version)],
+            [Put(held.key, value)],
+            give_up_at=self._clock.seconds() + CLAIM_TIMEOUT_S,
+        )
+        if isinstance(answer, Committed):
+            return True, held._replace(version=answer.versions[held.key])
+        if isinstance(answer, Conflict):
+            return await self._other(answer.row, held)
+        return answer
+
+    async def _other(self, row, held):
+        if not row.version:
+            row = await self._table.read(held.key)
+            if not isinstance(row, Row):
+                return row
+        if not row.version:
+            return Unavailable("the claim row vanished")
+        return False, _held(row)
+
+
+def _held(row):
+    return Held(row.key, row.version, Claim(**msgspec.json.decode(row.value)))
--- /dev/null
+++ b/packages/entry/src/samphiredeal/entry/configstore.py
@@ -0,0 +1,212 @@
+"""The configuration in the table: reading, accepting and snapshots.
+
+``config/head`` has the revision as its row version, and each accepted change is
+a row of its own, written in the same transaction. A change is accepted once
+that transaction has committed.
+"""
+
+import collections
+from typing import NamedTuple
+
+import msgspec
+
+from samphiredeal.model import configuration as config
+from samphiredeal.platform.table import (
+    NO_OBJECT,
+    Committed,
+    Condition,
+    Put,
+    Row,
+    Unavailable,
+    write_settled,
+)
+
+HEAD = "config/head"
+CHANGES = "config/change/"
+SNAPSHOT = "config/snapshot"
+SNAPSHOT_EVERY = 200
+_PAGE = 100
+_ACCEPT_TIMEOUT_S = 4.0
+_LOST_RACES = 5
+# How many changes are kept for peers that are a little behind.
+_RECENT_CHANGES = 256
+
+
+class Accepted(NamedTuple):
+    """The change is committed at this revision."""
+
+    change: config.Change
+
+
+class LostRace(NamedTuple):
+    """Another change came first; `version` and `document` are the winner's."""
+
+    version: int
+    document: dict | None
+
+
+class Unsettled(NamedTuple):
+    """The table did not answer: the change may or may not come into force."""
+
+    reason: str
+
+
+def change_key(revision):
+    """Return the key of a change's row; keys sort by revision."""
+    return f"{CHANGES}{revision:012d}"
+
+
+class ConfigStore:
+    """This entry's copy of the configuration and its way to the table."""
+
+    def __init__(self, clock, table, objects, confirmation, on_changes):
+        self._clock = clock
+        self._table = table
+        self._objects = objects
+        self._confirmation = confirmation
+        self._on_changes = on_changes
+        self._current = config.EMPTY
+        self._versions = {}
+        self._recent = collections.deque(maxlen=_RECENT_CHANGES)
+        self._reading = False
+
+    @property
+    def current(self):
+        """The configuration in hand."""
+        return self._current
+
+    def version_of(self, kind, name):
+        """Return the revision of the last change to a document, 0 if none."""
+        return self._versions.get(f"{kind}/{name}", 0)
+
+    def take_in(self, changes):
+        """Apply changes in order, as far as they follow on; never steps back."""
+        applied = []
+        for change in changes:
+            if change.revision == self._current.revision + 1:
+                self._current = self._current.apply(change)
+                self._versions[f"{change.kind}/{change.name}"] = change.revision
+                self._recent.append(change)
+                applied.append(change)
+        if applied:
+            self._confirmation.set_revision(self._current.revision)
+            self._on_changes(applied)
+        return applied
+
+    async def refresh(self):
+        """Read what is new from the table; does nothing while one read runs."""
+        if self._reading:
+            return
+        self._reading = True
+        try:
+            await self._refresh()
+        finally:
+            self._reading = False
+
+    async def _refresh(self):
+        sent_at = self._clock.seconds()
+        head = await self._table.read(HEAD)
+        if not isinstance(head, Row):
+            return
+        if self._current.revision == 0 and head.version > 1:
+            await self._load_snapshot()
+        while self._current.revision < head.version:
+            if not await self._read_page():
+                return
+        self._confirmation.on_store_read(sent_at, head.version)
+
+    def recent_after(self, revision):
+        """Return the changes after a revision, or None if some are not kept."""
+        if revision >= self._current.revision:
+            return []
+        kept = [change for change in self._recent if change.revision > revision]
+        return kept if kept and kept[0].revision == revision + 1 else None
+
+    def snapshot(self):
+        """Return the whole configuration as JSON bytes."""
+        return msgspec.json.encode(
+            {"configuration": self._current._asdict(), "versions": self._versions}
+        )
+
+    def take_in_snapshot(self, data):
+        """Take in what `snapshot` made, unless it is older than what is in hand."""
+        document = msgspec.json.decode(data)
+        current = config.Configuration(**document["configuration"])
+        if current.revision > self._current.revision:
+            self._current = current
+            self._versions = document["versions"]
+            self._recent.clear()
+            self._confirmation.set_revision(current.revision)
+            self._on_changes([])
+
+    async def changes_after(self, revision):
+        """Return a page of accepted changes after a revision, or None."""
+        page = await self._table.scan(CHANGES, change_key(revision), _PAGE)
+        if isinstance(page, Unavailable):
+            return None
+        return [config.decode_changes(b"[" + row.value + b"]")[0] for row in page]
+
+    async def accept(self, change_id, kind, name, document, expected):
+        """Write a change if the document is still at version `expected`.
+
+        `expected` None means any. Returns `Accepted`, `LostRace` or
+        `Unsettled`.
+        """
+        self._confirmation.write_begun()
+        try:
+            return await self._accept(change_id, kind, name, document, expected)
+        finally:
+            self._confirmation.write_ended()
+
+    async def _accept(self, change_id, kind, name, document, expected):
+        give_up_at = self._clock.seconds() + _ACCEPT_TIMEOUT_S
+        for _ in range(_LOST_RACES):
+            version = self.version_of(kind, name)
+            if expected is not None and version != expected:
+                return LostRace(version, self._current.documents(kind).get(name))
+            revision = self._current.revision
+            change = config.Change(revision + 1, change_id, kind, name, document)
+            answer = await write_settled(
+                self._clock,
+                self._table,
+                [Condition(HEAD, revision), Condition(change_key(revision + 1), 0)],
+                [
+                    Put(
+                        change_key(revision + 1), msgspec.json.encode(change._asdict())
+                    ),
+                    Put(HEAD, b""),
+                ],
+                give_up_at=give_up_at,
+            )
+            if isinstance(answer, Committed):
+                self.take_in([change])
+                await self._maybe_snapshot()
+                return Accepted(change)
+            if isinstance(answer, Unavailable):
+                return Unsettled(answer.reason)
+            while self._current.revision <= revision:
+                if not await self._read_page():
+                    return Unsettled("the change that came first cannot be read")
+        return LostRace(self.version_of(kind, name), None)
+
+    async def _read_page(self):
+        """Read and apply the next changes; return whether there were any."""
+        changes = await self.changes_after(self._current.revision)
+        return bool(changes and self.take_in(changes))
+
+    async def _maybe_snapshot(self):
+        if self._current.revision % SNAPSHOT_EVERY:
+            return
+        name = f"config/{self._current.revision:012d}"
+        stored = await self._objects.put(name, self.snapshot())
+        if not isinstance(stored, Unavailable):
+            await self._table.write([], [Put(SNAPSHOT, name.encode())])
+
+    async def _load_snapshot(self):
+        row = await self._table.read(SNAPSHOT)
+        if not isinstance(row, Row) or not row.version:
+            return
+        data = await self._objects.get(row.value.decode())
+        if data is NO_OBJECT or isinstance(data, Unavailable):
+            return
+        self.take_in_snapshot(data)
--- /dev/null
+++ b/packages/entry/src/samphiredeal/entry/confirmation.py
@@ -0,0 +1,106 @@
+"""How an entry knows that its configuration is current.
+
+Three sources give a time, on this entry's clock, at which the configuration is
+known to have been the newest: its own read of the table, another entry's
+(by the round trip of a peer beat), and, if nobody reaches the table, the
+agreement of all entries that none has accepted anything newer.
+"""
+
+from typing import NamedTuple
+
+# A table that has not answered for this long counts as down for this entry.
+STORE_SILENCE_S = 1.5
+# An entry that neither this one nor any agent has heard for this long is gone.
+PEER_GONE_S = 3.0
+
+
+class PeerWord(NamedTuple):
+    """The latest echo of a peer; `at` is when the beat it answers was sent."""
+
+    at: float
+    revision: int
+    confirm_age_s: float
+    store_down: bool
+
+
+class Confirmation:
+    """Tells how long ago the configuration in hand was known to be the newest."""
+
+    def __init__(self, clock):
+        self._clock = clock
+        self._revision = 0
+        self._store_at = float("-inf")
+        self._words = {}
+        self._heard_at = {}
+        self._members = set()
+        self._writes = 0
+
+    @property
+    def store_down(self):
+        """Whether the table has been silent and no change is being written here."""
+        return not self._writes and self.store_silent
+
+    @property
+    def store_silent(self):
+        """Whether the table has been silent for this entry."""
+        return self._clock.seconds() - self._store_at > STORE_SILENCE_S
+
+    def set_revision(self, revision):
+        """Note the revision in hand; confirmations of older ones still count."""
+        self._revision = max(self._revision, revision)
+
+    def on_store_read(self, sent_at, revision):
+        """Take in that the table held this revision at `sent_at` or later."""
+        if revision <= self._revision:
+            self._store_at = max(self._store_at, sent_at)
+
+    def on_echo(self, peer, word):
+        """Take in what a peer answered."""
+        self._words[peer] = word
+        self._heard_at[peer] = max(word.at, self._heard_at.get(peer, 0.0))
+
+    def on_agent_hears(self, entries):
+        """Take in which entries an agent hears."""
+        now = self._clock.seconds()
+        for entry in entries:
+            self._heard_at[entry] = now
+
+    def set_members(self, names):
+        """Set which other entries hold a lease in the table."""
+        now = self._clock.seconds()
+        for name in set(names) - self._members:
+            self._heard_at.setdefault(name, now)
+        self._members = set(names)
+
+    def write_begun(self):
+        """Note that a change is on its way to the table."""
+        self._writes += 1
+
+    def write_ended(self):
+        """Note that a change was settled or given up."""
+        self._writes -= 1
+
+    def age_s(self):
+        """Return how many seconds ago the configuration was known as newest."""
+        times = [self._store_at, self._unanimous_at()]
+        times += [
+            word.at - word.confirm_age_s
+            for word in self._words.values()
+            if word.revision <= self._revision
+        ]
+        return self._clock.seconds() - max(times)
+
+    def _unanimous_at(self):
+        """Return when all entries last agreed that nothing newer is accepted."""
+        if not self.store_down:
+            return float("-inf")
+        now = self._clock.seconds()
+        oldest = now
+        for name in self._members | set(self._words):
+            if now - self._heard_at.get(name, float("-inf")) > PEER_GONE_S:
+                continue
+            word = self._words.get(name)
+            if word is None or not word.store_down or word.revision > self._revision:
+                return float("-inf")
+            oldest = min(oldest, word.at)
+        return oldest
--- /dev/null
+++ b/packages/entry/src/samphiredeal/entry/http.py
@@ -0,0 +1,136 @@
+"""HTTP plumbing: JSON answers, bodies in memory, limits on their size."""
+
+from io import BytesIO
+
+import msgspec
+from twisted.internet.defer import ensureDeferred
+from twisted.web.resource import Resource
+from twisted.web.server import NOT_DONE_YET, Request, Site
+
+MAX_BODY_BYTES = 8 * 1024 * 1024
+
+VERDICT_HEADER = b"Samphiredeal-Verdict"
+REASON_HEADER = b"Samphiredeal-Reason"
+
+
+class BadRequest(Exception):
+    """The caller's input is wrong; `text` names the field and its value."""
+
+    def __init__(self, text, status=400):
+        super().__init__(text)
+        self.status = status
+        self.text = text
+
+
+class MemoryRequest(Request):
+    """A request whose body stays in memory and within `MAX_BODY_BYTES`."""
+
+    too_large = False
+
+    def gotLength(self, length):
+        """Keep the body in memory; the hosts have no disks."""
+        self.too_large = length is not None and length > MAX_BODY_BYTES
+        self.content = BytesIO()
+
+    def handleContentChunk(self, data):
+        """Take in a part of the body unless it grows too large."""
+        if self.content.tell() + len(data) > MAX_BODY_BYTES:
+            self.too_large = True
+        if not self.too_large:
+            self.content.write(data)
+
+
+def make_site(resource):
+    """Return a twisted.web site over a resource, with bodies in memory."""
+    return Site(resource, requestFactory=MemoryRequest)
+
+
+class Endpoint(Resource):
+    """Calls ``handle(request)`` for the methods given and answers with JSON.
+
+    A handler is a coroutine function that returns (status, document), or bytes
+    in place of the document; `BadRequest` turns into its status and text.
+    """
+
+    isLeaf = True
+
+    def __init__(self, **handlers):
+        super().__init__()
+        self._handlers = handlers
+
+    def render(self, request):
+        """Run the handler of the request's method."""
+        handler = self._handlers.get(request.method.decode())
+        if request.too_large:
+            reject(request, 413, f"body: more than {MAX_BODY_BYTES} bytes")
+        elif handler is None:
+            allowed = ", ".join(sorted(self._handlers))
+            reject(request, 405, f"method: {request.method.decode()!r}, not {allowed}")
+        else:
+            ensureDeferred(self._run(handler, request))
+        return NOT_DONE_YET
+
+    async def _run(self, handler, request):
+        try:
+            status, document = await handler(request)
+        except BadRequest as error:
+            reject(request, error.status, error.text)
+        except Exception as error:
+            reject(request, 500, f"{type(error).__name__}: {error}")
+            raise
+        else:
+            answer(request, status, document)
+
+
+def reject(request, status, text):
+    """Answer with an error; nothing ran."""
+    request.setHeader(VERDICT_HEADER, b"not-run")
+    answer(request, status, {"error": text, "verdict": "not-run"})
+
+
+def answer(request, status, document):
+    """Answer with a status and a JSON document, or bytes as they are."""
+    if request._disconnected:
+        return
+    request.setResponseCode(status)
+    if not isinstance(document, bytes):
+        request.setHeader(b"Content-Type", b"application/json")
+        document = msgspec.json.encode(document) + b"\n"
+    request.setHeader(b"Content-Length", str(len(document)).encode())
+    request.write(document)
+    request.finish()
+
+
+def json_body(request):
+    """Return the request's body as a JSON object; raise `BadRequest` if not."""
+    try:
+        document = msgspec.json.decode(request.content.read())
+    except msgspec.DecodeError as error:
+        raise BadRequest(f"body: {error}") from error
+    if not isinstance(document, dict):
+        raise BadRequest(f"body: expected an object, got {document!r}"[:200])
+    return document
+
+
+def header(request, name, default=""):
+    """Return a request header as text."""
+    value = request.getHeader(name)
+    return default if value is None else value
+
+
+def number_header(request, name, default, lowest, highest):
+    """Return a request header as a number within bounds, or raise `BadRequest`."""
+    text = header(request, name, str(default))
+    try:
+        value = float(text)
+    except ValueError:
+        raise BadRequest(f"{name}: {text!r} is not a number") from None
+    if not lowest <= value <= highest:
+        raise BadRequest(f"{name}: {text} is not within {lowest} to {highest}")
+    return value
+
+
+def query(request, name, default=""):
+    """Return a query parameter as text."""
+    values = request.args.get(name.encode())
+    return values[0].decode(errors="replace") if values else default
--- /dev/null
+++ b/packages/entry/src/samphiredeal/entry/jobstore.py
@@ -0,0 +1,185 @@
+"""Job rows in the table: what was asked for, and how it ended.
+
+``job/<region>/<id>`` holds a job that is not over, ``done/<region>/<id>`` one
+that is. Moving from one to the other is one transaction.
+"""
+
+from typing import NamedTuple
+
+import msgspec
+from twisted.internet.task import deferLater
+
+from samphiredeal.model.job import Job
+from samphiredeal.model.shape import Shape
+from samphiredeal.platform.table import (
+    Committed,
+    Condition,
+    Conflict,
+    Put,
+    Row,
+    Unavailable,
+    write_settled,
+)
+
+SUBMIT_TIMEOUT_S = 3.0
+_PAGE = 100
+_RETRY_S = 1.0
+
+
+class JobRecord(NamedTuple):
+    """The content of a job's row; `state` is ``active`` or how it ended."""
+
+    job: Job
+    state: str = "active"
+    reason: str = ""
+    attempt: str = ""
+    cancelled: bool = False
+    nonce: str = ""
+
+
+class StoredJob(NamedTuple):
+    """A job's record with its row's version."""
+
+    version: int
+    record: JobRecord
+
+
+def encode_job(job):
+    """Return a job as JSON bytes."""
+    return msgspec.json.encode(job._asdict())
+
+
+def decode_job(data):
+    """Return the job that `encode_job` made."""
+    return job_from_dict(msgspec.json.decode(data))
+
+
+def job_from_dict(fields):
+    """Return a job from its fields, with the shape as a list."""
+    return Job(**{**fields, "shape": Shape(*fields["shape"])})
+
+
+class JobStore:
+    """The job rows of one region."""
+
+    def __init__(self, clock, table, region):
+        self._clock = clock
+        self._table = table
+        self._region = region
+
+    def _active_key(self, job_id):
+        return f"job/{self._region}/{job_id}"
+
+    def _done_key(self, job_id):
+        return f"done/{self._region}/{job_id}"
+
+    async def submit(self, job, nonce):
+        """Write a job's row if its id is new.
+
+        Returns the `JobRecord` that stands, which is another's if the id was
+        known, or an `Unavailable` after which the job may or may not be known.
+        """
+        record = JobRecord(job, nonce=nonce)
+        answer = await write_settled(
+            self._clock,
+            self._table,
+            [
+                Condition(self._active_key(job.id), 0),
+                Condition(self._done_key(job.id), 0),
+            ],
+            [Put(self._active_key(job.id), _encode(record))],
+            give_up_at=self._clock.seconds() + SUBMIT_TIMEOUT_S,
+        )
+        if isinstance(answer, Committed):
+            return record
+        if isinstance(answer, Conflict):
+            found = await self.read(job.id)
+            return found.record if isinstance(found, StoredJob) else found
+        return answer
+
+    async def read(self, job_id):
+        """Return the `StoredJob`, None if there is none, or an `Unavailable`."""
+        for key in (self._active_key(job_id), self._done_key(job_id)):
+            row = await self._table.read(key)
+            if isinstance(row, Unavailable):
+                return row
+            if row.version:
+                return StoredJob(row.version, _decode(row.value))
+        return None
+
+    async def list(self, state, after, limit):
+        """Return a page of records after an id, or an `Unavailable`."""
+        prefix = self._active_key("") if state == "active" else self._done_key("")
+        page = await self._table.scan(prefix, prefix + after if after else "", limit)
+        if isinstance(page, Unavailable):
+            return page
+        return [_decode(row.value) for row in page]
+
+    async def all_active(self):
+        """Return all records of jobs that are not over, or an `Unavailable`."""
+        records, after = [], ""
+        while True:
+            page = await self.list("active", after, _PAGE)
+            if isinstance(page, Unavailable):
+                return page
+            records += page
+            if len(page) < _PAGE:
+                return records
+            after = page[-1].job.id
+
+    async def cancel(self, job_id):
+        """Mark a job as cancelled; returns its record, None or `Unavailable`."""
+        return await self._update(job_id, lambda r: r._replace(cancelled=True))
+
+    async def record_attempt(self, job_id, attempt_id):
+        """Write the attempt of a job that is not repeatable before it starts."""
+        return await self._update(job_id, lambda r: r._replace(attempt=attempt_id))
+
+    async def finish(self, job_id, state, reason):
+        """Move a job to the ended ones; repeats until the table has it."""
+        while True:
+            found = await self.read(job_id)
+            if found is None or (
+                isinstance(found, StoredJob) and found.record.state != "active"
+            ):
+                return
+            if isinstance(found, StoredJob):
+                record = found.record._replace(state=state, reason=reason)
+                answer = await self._table.write(
+                    [Condition(self._active_key(job_id), found.version)],
+                    [Put(self._done_key(job_id), _encode(record))],
+                    [self._active_key(job_id)],
+                )
+                if isinstance(answer, Committed):
+                    return
+            await deferLater(self._clock, _RETRY_S)
+
+    async def _update(self, job_id, change):
+        """Change an active job's record; repeats lost races."""
+        while True:
+            found = await self.read(job_id)
+            if not isinstance(found, StoredJob) or found.record.state != "active":
+                return found.record if isinstance(found, StoredJob) else found
+            record = change(found.record)
+            key = self._active_key(job_id)
+            answer = await self._table.write(
+                [Condition(key, found.version)], [Put(key, _encode(record))]
+            )
+            if isinstance(answer, Committed):
+                return record
+            if isinstance(answer, Unavailable):
+                check = await self._table.read(key)
+                if isinstance(check, Row) and check.value == _encode(record):
+                    return record
+                return answer
+
+
+def _encode(record):
+    fields = record._asdict()
+    fields["job"] = record.job._asdict()
+    return msgspec.json.encode(fields)
+
+
+def _decode(value):
+    fields = msgspec.json.decode(value)
+    return JobRecord(**{**fields, "job": job_from_dict(fields["job"])})
--- /dev/null
+++ b/packages/entry/src/samphiredeal/entry/lease.py
@@ -0,0 +1,169 @@
+"""Lease rows: membership of entries and the scheduler's lease.
+
+A row counts as live while its version keeps changing, on the reader's own
+clock; no times are written or compared.
+"""
+
+from typing import NamedTuple
+
+import msgspec
+
+from samphiredeal.platform.table import (
+    Committed,
+    Condition,
+    Conflict,
+    Put,
+    Row,
+    Unavailable,
+)
+
+RENEW_S = 1.0
+# A lease whose row has not changed for this long has lapsed.
+LEASE_S = 4.0
+
+
+class Seen(NamedTuple):
+    """A row's version and when this process first saw it."""
+
+    version: int
+    at: float
+
+
+class RowWatch:
+    """Tells which rows have changed lately."""
+
+    def __init__(self, clock):
+        self._clock = clock
+        self._seen = {}
+
+    def look(self, row):
+        """Take in a row as read; return whether its lease is live."""
+        seen = self._seen.get(row.key)
+        if seen is None or seen.version != row.version:
+            seen = Seen(row.version, self._clock.seconds())
+            self._seen[row.key] = seen
+        return self._clock.seconds() - seen.at <= LEASE_S
+
+
+class EntryRow(NamedTuple):
+    """What an entry writes of itself into its lease row."""
+
+    name: str
+    address: str
+    zone: str
+    region: str
+    incarnation: str
+    beat: int
+
+
+class Membership:
+    """This entry's lease row and the rows of the others."""
+
+    PREFIX = "entry/"
+
+    def __init__(self, clock, table, own):
+        self._clock = clock
+        self._table = table
+        self._own = own
+        self._watch = RowWatch(clock)
+        self._members = {}
+
+    @property
+    def members(self):
+        """The other entries with a live lease, by name."""
+        return self._members
+
+    async def renew(self):
+        """Renew the own row and read those of the others."""
+        self._own = self._own._replace(beat=self._own.beat + 1)
+        value = msgspec.json.encode(self._own._asdict())
+        await self._table.write([], [Put(self.PREFIX + self._own.name, value)])
+        page = await self._table.scan(self.PREFIX, "", 100)
+        if isinstance(page, Unavailable):
+            return
+        live = {}
+        for row in page:
+            entry = EntryRow(**msgspec.json.decode(row.value))
+            if self._watch.look(row) and entry.name != self._own.name:
+                live[entry.name] = entry
+        self._members = live
+
+    async def leave(self):
+        """Delete the own row."""
+        await self._table.write([], [], [self.PREFIX + self._own.name])
+
+
+class SchedulerLease:
+    """The lease of one region's scheduler, with a rising epoch."""
+
+    def __init__(self, clock, table, region, name):
+        self._table = table
+        self._key = f"scheduler/{region}"
+        self._name = name
+        self._watch = RowWatch(clock)
+        self._epoch = 0
+        self._version = 0
+        self._held = False
+
+    @property
+    def held(self):
+        """Whether this entry holds the lease, as far as it knows.
+
+        A holder that cannot reach the table goes on: nobody else can take the
+        lease meanwhile, and agents refuse an epoch below one they have seen.
+        """
+        return self._held
+
+    @property
+    def epoch(self):
+        """The epoch of the lease when held."""
+        return self._epoch
+
+    async def renew(self):
+        """Renew a held lease, or take one that has lapsed."""
+        if self._held:
+            await self._write(self._epoch)
+            return
+        row = await self._table.read(self._key)
+        if not isinstance(row, Row):
+            return
+        live = self._watch.look(row)
+        document = msgspec.json.decode(row.value) if row.version else {"epoch": 0}
+        self._version = row.version
+        if not row.version or not live or document["holder"] == "":
+            await self._write(document["epoch"] + 1)
+
+    async def give_up(self):
+        """Release a held lease so that another entry takes it at once."""
+        if self._held:
+            self._held = False
+            await self._put(self._epoch, "")
+
+    def fence(self, epoch):
+        """Take in that a higher epoch exists: this entry holds it no longer."""
+        if epoch > self._epoch:
+            self._held = False
+
+    async def _write(self, epoch):
+        answer = await self._put(epoch, self._name)
+        if isinstance(answer, Committed):
+            self._held = True
+            self._epoch = epoch
+            self._version = answer.versions[self._key]
+        elif isinstance(answer, Conflict):
+            await self._on_conflict(answer.row, epoch)
+
+    async def _on_conflict(self, row, epoch):
+        """Tell a lost answer to our own earlier write from a lost lease."""
+        document = msgspec.json.decode(row.value) if row.version else {}
+        if document.get("holder") == self._name and document.get("epoch") == epoch:
+            self._held = True
+            self._epoch = epoch
+            self._version = row.version
+        else:
+            self._held = False
+
+    def _put(self, epoch, holder):
+        value = msgspec.json.encode({"holder": holder, "epoch": epoch})
+        condition = Condition(self._key, self._version)
+        return self._table.write([condition], [Put(self._key, value)])
--- /dev/null
+++ b/packages/entry/src/samphiredeal/entry/node.py
@@ -0,0 +1,678 @@
+"""The entry: joins sessions, peers, configuration, requests and the scheduler.
+
+`EntryNode` does no I/O of its own: links, the table and the clock are given.
+"""
+
+import itertools
+from typing import NamedTuple
+
+import msgspec
+from twisted.internet.defer import ensureDeferred
+from twisted.internet.task import LoopingCall, deferLater
+
+from samphiredeal.entry import sessions as agent_sessions
+from samphiredeal.entry.claims import Claims
+from samphiredeal.entry.configstore import Accepted, ConfigStore
+from samphiredeal.entry.confirmation import Confirmation
+from samphiredeal.entry.dispatches import Dispatches
+from samphiredeal.entry.jobstore import (
+    JobStore,
+    decode_job,
+    encode_job,
+)
+from samphiredeal.entry.lease import EntryRow, Membership, SchedulerLease
+from samphiredeal.entry.peers import BEAT_S, Peers
+from samphiredeal.entry.requests import RequestServer
+from samphiredeal.entry.routing import Router
+from samphiredeal.entry.scheduling import SchedulerHost
+from samphiredeal.entry.sessions import AgentInfo, Sessions
+from samphiredeal.model import configuration as config
+from samphiredeal.model import verdict
+from samphiredeal.model.shape import Shape
+from samphiredeal.platform.table import Unavailable
+from samphiredeal.wire import codec
+from samphiredeal.wire.messages import (
+    PROTOCOL_VERSION,
+    AgentLost,
+    AgentUp,
+    Answer,
+    Ask,
+    AskReply,
+    ConfigChanges,
+    ConfigSlice,
+    ConfigSnapshot,
+    DispatchAck,
+    FromAgent,
+    Heartbeat,
+    HeartbeatReply,
+    Hello,
+    HelloRefused,
+    JobNotice,
+    PeerBeat,
+    PeerEcho,
+    QueryReply,
+    Refusal,
+    Relay,
+)
+
+TICK_S = 0.25
+STORE_POLL_S = 0.5
+# How often the scheduler's holder looks for job rows it was not told of.
+JOB_SWEEP_S = 5.0
+_MAX_LAGGING_TOLD = 20
+
+
+class EntryIdentity(NamedTuple):
+    """What an entry is called and where it is."""
+
+    name: str
+    zone: str
+    region: str
+    address: str
+    incarnation: str
+
+
+class Environment(NamedTuple):
+    """What the request server asks of its entry."""
+
+    confirm_age: object
+    revision: object
+    store_down: object
+
+
+class EntryNode:
+    """One entry. `connect(address)` returns a Deferred of a link.
+
+    `pick(sessions)` chooses two agents at random; tests make it predictable.
+    """
+
+    def __init__(self, clock, identity, table, objects, connect, pick):
+        self._clock = clock
+        self._identity = identity
+        self._table = table
+        self._ids = itertools.count()
+        self._confirmation = Confirmation(clock)
+        self._config = ConfigStore(
+            clock, table, objects, self._confirmation, self._on_changes
+        )
+        self._sessions = Sessions(clock)
+        self._dispatches = Dispatches()
+        self._jobs = JobStore(clock, table, identity.region)
+        self._membership = Membership(
+            clock, table, EntryRow(**identity._asdict(), beat=0)
+        )
+        self._lease = SchedulerLease(clock, table, identity.region, identity.name)
+        self._peers = Peers(clock, identity, connect, self._own_beat, self._on_word)
+        self._router = Router(
+            clock, self._sessions, self._may_dispatch, identity.zone, pick
+        )
+        self._requests = RequestServer(
+            clock,
+            self._sessions,
+            self._router,
+            self._dispatches,
+            Claims(clock, table, objects),
+            Environment(
+                self._confirmation.age_s,
+                lambda: self._config.current.revision,
+                lambda: self._confirmation.store_silent,
+            ),
+            self.new_id,
+        )
+        self._host = None
+        self._homes = {}
+        self._missing = {}
+        self._told_holder = ""
+        self._draining = False
+        self._busy = set()
+        self._links = set()
+        self._loops = []
+
+    # What the HTTP API asks
+
+    @property
+    def identity(self):
+        """The name and place of this entry."""
+        return self._identity
+
+    @property
+    def config(self):
+        """The configuration store."""
+        return self._config
+
+    @property
+    def confirmation(self):
+        """How current the configuration is."""
+        return self._confirmation
+
+    @property
+    def jobs(self):
+        """The job rows."""
+        return self._jobs
+
+    @property
+    def requests(self):
+        """The request server."""
+        return self._requests
+
+    @property
+    def router(self):
+        """The router of requests."""
+        return self._router
+
+    @property
+    def sessions(self):
+        """The agents linked to this entry."""
+        return self._sessions
+
+    @property
+    def peers(self):
+        """The other entries."""
+        return self._peers
+
+    @property
+    def host(self):
+        """The scheduler's host if this entry holds the lease, or None."""
+        return self._host
+
+    @property
+    def draining(self):
+        """Whether a planned stop has begun."""
+        return self._draining
+
+    @property
+    def ready(self):
+        """Whether callers should be sent here."""
+        return not self._draining and self._confirmation.age_s() < float("inf")
+
+    @property
+    def epoch(self):
+        """The highest scheduler epoch known."""
+        epochs = [state.epoch for state in self._peers.states.values()]
+        return max([self._lease.epoch, *epochs])
+
+    @property
+    def holder(self):
+        """The name of the entry that holds the scheduler's lease, or ''."""
+        if self._host is not None:
+            return self._identity.name
+        states = self._peers.states.values()
+        newest = max(states, key=lambda state: state.epoch, default=None)
+        return newest.holder if newest else ""
+
+    def new_id(self):
+        """Return an id that no other process makes."""
+        return f"{self._identity.incarnation}-{next(self._ids)}"
+
+    # Life
+
+    def start(self):
+        """Begin all periodic work."""
+        for seconds, step in (
+            (TICK_S, self._tick),
+            (BEAT_S, self._peers.tick),
+        ):
+            self._loop(seconds, step)
+        self._loop(STORE_POLL_S, lambda: self._spawn("config", self._poll_config))
+        self._loop(1.0, lambda: self._spawn("members", self._renew))
+        self._loop(1.0, lambda: self._spawn("lease", self._renew_lease))
+        self._loop(JOB_SWEEP_S, lambda: self._spawn("sweep", self._sweep_jobs))
+
+    async def drain(self, grace_s):
+        """Stop as planned: nothing new, finish what is in flight, leave."""
+        self._draining = True
+        give_up_at = self._clock.seconds() + grace_s
+        await self._hand_over()
+        while self._requests.in_flight and self._clock.seconds() < give_up_at:
+            await deferLater(self._clock, TICK_S)
+        await self._membership.leave()
+        self.stop()
+
+    def stop(self):
+        """Stop at once."""
+        for loop in self._loops:
+            if loop.running:
+                loop.stop()
+        if self._host is not None:
+            self._host.end()
+        self._peers.close()
+        for link in list(self._links):
+            link.close()
+
+    async def _hand_over(self):
+        """Give up the scheduler's lease, if held."""
+        if self._host is not None:
+            self._host.end()
+            self._host = None
+            await self._lease.give_up()
+
+    def _loop(self, seconds, step):
+        loop = LoopingCall(step)
+        loop.clock = self._clock
+        self._loops.append(loop)
+        loop.start(seconds, now=True)
+
+    def _spawn(self, name, work):
+        """Run periodic work unless its last run still goes on."""
+        if name in self._busy:
+            return
+        self._busy.add(name)
+
+        async def run():
+            try:
+                await work()
+            finally:
+                self._busy.discard(name)
+
+        ensureDeferred(run())
+
+    def _tick(self):
+        for session in self._sessions.lost():
+            self._lose(session)
+        self._router.pump()
+        if self._host is not None:
+            self._host.tick()
+            self._lose_missing()
+
+    async def _poll_config(self):
+        await self._config.refresh()
+
+    async def _renew(self):
+        if self._draining:
+            return
+        await self._membership.renew()
+        members = self._membership.members
+        self._confirmation.set_members(members)
+        self._peers.set_wanted({m.name: m.address for m in members.values()})
+
+    async def _renew_lease(self):
+        if self._draining:
+            return
+        self._lease.fence(self._highest_peer_epoch())
+        await self._lease.renew()
+        if self._lease.held and self._host is None:
+            self._become_holder()
+        elif not self._lease.held and self._host is not None:
+            self._host.end()
+            self._host = None
+        elif self._host is not None and self._host.epoch != self._lease.epoch:
+            self._host.end()
+            self._become_holder()
+        self._tell_holder()
+
+    def _highest_peer_epoch(self):
+        return max((s.epoch for s in self._peers.states.values()), default=0)
+
+    def _become_holder(self):
+        self._homes = {}
+        self._missing = {}
+        self._host = SchedulerHost(
+            self._clock, self._jobs, self._send_to_worker, self._stamp
+        )
+        self._host.begin(self._config.current)
+
+    async def _sweep_jobs(self):
+        """Take in job rows that this holder was not told of."""
+        host = self._host
+        if host is None or not host.loaded:
+            return
+        records = await self._jobs.all_active()
+        if isinstance(records, Unavailable) or host is not self._host:
+            return
+        for record in records:
+            if record.cancelled:
+                host.cancel(record.job.id)
+            else:
+                host.submit_found(record)
+
+    def _stamp(self):
+        """Return (epoch, revision, confirmation age in ms) for a start."""
+        age_ms = min(self._confirmation.age_s(), 1e6) * 1000
+        return self._lease.epoch, self._config.current.revision, int(age_ms) + 1
+
+    # Links
+
+    def accept(self, link):
+        """Take in a link that a peer or an agent opened."""
+        self._links.add(link)
+        link.on_message = self._on_first_message
+        link.on_lost = self._links.discard
+
+    def _on_first_message(self, link, message):
+        if not isinstance(message, Hello):
+            link.close()
+            return
+        if message.version != PROTOCOL_VERSION:
+            link.send(
+                HelloRefused(
+                    f"version {message.version} does not fit {PROTOCOL_VERSION}"
+                )
+            )
+            return
+        if message.role == "entry":
+            link.on_message = lambda link, m: self._on_peer(link, message.name, m)
+        else:
+            self._on_agent_hello(link, message)
+
+    def _on_agent_hello(self, link, hello):
+        info = _agent_info(hello)
+        if info is None:
+            link.send(HelloRefused("the hello's document is malformed"))
+            return
+        session, old = self._sessions.open(info, link)
+        link.on_message = lambda _link, m: self._on_agent(session, m)
+        link.on_lost = lambda lost: self._links.discard(lost)
+        own = self._identity
+        link.send(Hello(PROTOCOL_VERSION, "entry", own.name, own.zone, own.incarnation))
+        self._send_slice(session)
+        if old is not None:
+            old.link.close()
+        self._dispatches.on_new_link(session)
+        if not session.is_executor:
+            self._report_up(session)
+
+    def _on_agent(self, session, message):
+        if isinstance(message, Heartbeat):
+            self._on_heartbeat(session, message)
+        elif isinstance(message, FromAgent):
+            self._forward(message)
+        elif isinstance(message, DispatchAck):
+            self._dispatches.on_ack(session, message.dispatch_id)
+        elif isinstance(message, Answer):
+            session.free = message.free - len(session.unacknowledged)
+            if not self._dispatches.on_answer(session, message):
+                session.link.close()
+        elif isinstance(message, Refusal):
+            self._dispatches.on_refusal(session, message)
+        elif isinstance(message, QueryReply):
+            self._requests.on_query_reply(message)
+
+    def _on_heartbeat(self, session, heartbeat):
+        session.on_heartbeat(heartbeat, self._clock.seconds())
+        self._confirmation.on_agent_hears(
+            name for name in heartbeat.heard if name != self._identity.name
+        )
+        if session.revision < self._config.current.revision:
+            self._send_slice(session)
+        entries = self._entries_document()
+        session.link.send(
+            HeartbeatReply(
+                heartbeat.sequence,
+                self._config.current.revision,
+                self.epoch,
+                b"" if session.entries_sent == entries else entries,
+            )
+        )
+        session.entries_sent = entries
+        self._router.pump()
+
+    def _entries_document(self):
+        """Return the entries of this region, this one included, as JSON."""
+        own = self._identity
+        rows = [(own.name, own.address, own.zone)]
+        rows += [
+            (m.name, m.address, m.zone)
+            for m in self._membership.members.values()
+            if m.region == own.region
+        ]
+        return msgspec.json.encode([] if self._draining else sorted(rows))
+
+    def _send_slice(self, session):
+        configuration = self._config.current
+        info = session.info
+        session.link.send(
+            ConfigSlice(
+                configuration.revision,
+                configuration.zone_is_out(info.zone),
+                msgspec.json.encode(configuration.labels_of(info.worker)),
+            )
+        )
+
+    def _lose(self, session):
+        """End a session whose agent has been silent for too long."""
+        self._sessions.close(session)
+        session.link.close()
+        info = session.info
+        self._dispatches.on_agent_lost(info.name)
+        if not session.is_executor:
+            self._to_holder(AgentLost(info.name, info.incarnation))
+
+    def _may_dispatch(self, session):
+        """Return whether an agent may be sent requests now."""
+        if session.leaving or not session.permit:
+            return False
+        if not self._sessions.is_live(session):
+            return False
+        return not self._config.current.zone_is_out(session.info.zone)
+
+    # Peers
+
+    def _own_beat(self, sequence):
+        revision = self._config.current.revision
+        lagging = [s.info.name for s in self._sessions if s.revision < revision]
+        return PeerBeat(
+            sequence,
+            revision,
+            _milliseconds(self._confirmation.age_s()),
+            self._confirmation.store_down,
+            self.epoch if self._host is None else self._lease.epoch,
+            self.holder,
+            lagging[:_MAX_LAGGING_TOLD],
+        )
+
+    def _on_word(self, peer, word):
+        self._confirmation.on_echo(peer, word)
+
+    def _on_peer(self, link, name, message):
+        """Take in a message on a link that a peer dialled."""
+        if isinstance(message, PeerBeat):
+            self._on_peer_beat(link, name, message)
+        elif isinstance(message, ConfigChanges):
+            self._config.take_in(config.decode_changes(message.changes))
+        elif isinstance(message, ConfigSnapshot):
+            self._config.take_in_snapshot(message.document)
+        elif isinstance(message, Relay):
+            self._on_relay(message)
+        elif isinstance(message, FromAgent):
+            self._forward(message, home=name)
+        elif isinstance(message, AgentUp):
+            self._on_agent_up(message, home=name)
+        elif isinstance(message, AgentLost):
+            self._on_agent_lost(message, home=name)
+        elif isinstance(message, JobNotice):
+            self._on_notice(message)
+        elif isinstance(message, Ask):
+            document = self._answer(
+                message.topic, msgspec.json.decode(message.document)
+            )
+            link.send(AskReply(message.query_id, msgspec.json.encode(document)))
+
+    def _on_peer_beat(self, link, name, beat):
+        before = self.holder, self.epoch
+        self._peers.on_beat(name, beat)
+        revision = self._config.current.revision
+        link.send(
+            PeerEcho(
+                beat.sequence,
+                revision,
+                _milliseconds(self._confirmation.age_s()),
+                self._confirmation.store_down,
+            )
+        )
+        if beat.revision < revision:
+            self._send_changes(name, beat.revision)
+        if before != (self.holder, self.epoch):
+            self._tell_holder()
+
+    def _send_changes(self, name, revision):
+        changes = self._config.recent_after(revision)
+        if changes is None:
+            self._peers.send(name, ConfigSnapshot(self._config.snapshot()))
+        else:
+            self._peers.send(name, ConfigChanges(config.encode_changes(changes)))
+
+    def _on_changes(self, changes):
+        """Pass accepted changes on to agents, peers and the scheduler."""
+        for session in self._sessions:
+            self._send_slice(session)
+        if changes:
+            self._peers.broadcast(ConfigChanges(config.encode_changes(changes)))
+        if self._host is not None:
+            self._host.configure(self._config.current)
+
+    # The scheduler's side
+
+    def _tell_holder(self):
+        """Tell a new holder of the workers whose home this entry is."""
+        marker = f"{self.holder}/{self.epoch}"
+        if marker != self._told_holder and self.holder:
+            self._told_holder = marker
+            for session in self._sessions:
+                if not session.is_executor:
+                    self._report_up(session)
+
+    def _report_up(self, session):
+        document = msgspec.json.encode(session.info._asdict())
+        self._to_holder(AgentUp(document))
+
+    def _to_holder(self, message):
+        if self._host is not None:
+            self._on_peer(None, self._identity.name, message)
+        else:
+            self._peers.send(self.holder, message)
+
+    def _on_agent_up(self, message, home):
+        if self._host is None:
+            return
+        fields = msgspec.json.decode(message.document)
+        info = AgentInfo(**{**fields, "capacity": Shape(*fields["capacity"])})
+        self._homes[info.name] = home
+        self._missing.pop(info.name, None)
+        self._host.worker_up(info.worker)
+
+    def _on_agent_lost(self, message, home):
+        if self._host is not None and self._homes.get(message.name) == home:
+            del self._homes[message.name]
+            self._host.worker_lost(message.name)
+
+    def _lose_missing(self):
+        """Lose workers whose home entry is gone and that found no other."""
+        now = self._clock.seconds()
+        live = set(self._peers.states) | {self._identity.name}
+        for name, home in list(self._homes.items()):
+            if home in live:
+                self._missing.pop(name, None)
+            elif now - self._missing.setdefault(name, now) > agent_sessions.LOST_S:
+                del self._homes[name]
+                del self._missing[name]
+                self._host.worker_lost(name)
+
+    def _send_to_worker(self, worker, message):
+        home = self._homes.get(worker)
+        relay = Relay(worker, self._lease.epoch, codec.encode(message))
+        if home == self._identity.name:
+            self._on_relay(relay)
+        elif home is not None:
+            self._peers.send(home, relay)
+
+    def _on_relay(self, relay):
+        session = self._sessions.get(relay.agent)
+        if session is not None:
+            session.link.send(relay)
+
+    def _forward(self, message, home=None):
+        """Take an agent's message to the scheduler, here or at its holder."""
+        if self._host is None:
+            if home is None:
+                self._peers.send(self.holder, message)
+            return
+        inner = codec.decode(message.payload)
+        self._host.on_agent_message(message.agent, message.incarnation, inner)
+
+    def _on_notice(self, notice):
+        if self._host is None:
+            return
+        if notice.kind == "submit":
+            self._host.submit(decode_job(notice.job))
+        else:
+            self._host.cancel(notice.job_id)
+
+    # Jobs and configuration, for the HTTP API
+
+    def notify_job(self, kind, job_id, job=None):
+        """Tell the scheduler's holder of a submission or a cancellation."""
+        data = encode_job(job) if job is not None else b""
+        self._to_holder(JobNotice(kind, job_id, data))
+
+    async def ask_holder(self, topic, document):
+        """Return the holder's answer on a topic, None if there is none."""
+        if self._host is not None:
+            return self._answer(topic, document)
+        return await self._peers.ask(self.holder, self.new_id(), topic, document)
+
+    def _answer(self, topic, document):
+        if self._host is None:
+            return None
+        if topic == "explain":
+            return self._host.explain(document["job"])
+        if topic == "refusal":
+            return self._host.refusal(document["job"])
+        if topic == "workers":
+            return self._host.workers()
+        if topic == "check":
+            accounts = config.Configuration(**document)
+            refused, warnings = self._host.check_configuration(accounts)
+            return {"refused": refused, "warnings": warnings}
+        return None
+
+    async def change(self, kind, name, document, expected):
+        """Write a configuration change; see `ConfigStore.accept`."""
+        answer = await self._config.accept(
+            self.new_id(), kind, name, document, expected
+        )
+        if isinstance(answer, Accepted):
+            await self._wait_for_peers(answer.change.revision)
+        return answer
+
+    async def _wait_for_peers(self, revision):
+        """Wait, for a bounded time, until the linked peers have a revision."""
+        for _ in range(4):
+            states = self._peers.states.values()
+            if all(state.revision >= revision for state in states):
+                return
+            await deferLater(self._clock, TICK_S)
+
+    def in_force(self, revision):
+        """Return the names of entries and agents that lag behind a revision."""
+        lagging = [s.info.name for s in self._sessions if s.revision < revision]
+        for name, state in self._peers.states.items():
+            if state.revision < revision:
+                lagging.append(name)
+            lagging += state.lagging
+        return sorted(set(lagging))
+
+    def refuse_reason(self):
+        """Return why this entry takes no new work, or None."""
+        return verdict.DRAINING if self._draining else None
+
+
+def _milliseconds(seconds):
+    return int(min(seconds, 1e6) * 1000)
+
+
+def _agent_info(hello):
+    """Return what an agent's hello tells, or None if it is malformed."""
+    try:
+        document = msgspec.json.decode(hello.document)
+        return AgentInfo(
+            hello.name,
+            document["kind"],
+            hello.zone,
+            document["rack"],
+            hello.incarnation,
+            Shape(*document["capacity"]),
+            document["slots"],
+            document["labels"],
+        )
+    except (msgspec.DecodeError, KeyError, TypeError):
+        return None
--- /dev/null
+++ b/packages/entry/src/samphiredeal/entry/requests.py
@@ -0,0 +1,350 @@
+"""Serving requests: repeatable ones with retries, keyed ones at most once."""
+
+from typing import NamedTuple
+
+from twisted.internet.defer import Deferred, ensureDeferred
+from twisted.internet.task import deferLater
+
+from samphiredeal.entry import claims as claim_rows
+from samphiredeal.entry.dispatches import Lost, digest
+from samphiredeal.entry.routing import RetryBudget, Ticket
+from samphiredeal.model import verdict
+from samphiredeal.model.timing import START_MAX_STALENESS_S
+from samphiredeal.model.verdict import Outcome, Reason
+from samphiredeal.platform.table import Unavailable
+from samphiredeal.wire.messages import (
+    Answer,
+    AnswerAck,
+    Dispatch,
+    Query,
+    Refusal,
+)
+
+MAX_TRIES = 4
+# How long after its deadline a caller still waits for an answer on its way.
+ANSWER_GRACE_S = 2.0
+_QUERY_PAUSE_S = 0.25
+_QUERY_TIMEOUT_S = 1.0
+_CLOSE_PAUSE_S = 1.0
+
+# The codes of refusals that say nothing about other agents: try elsewhere.
+_FATAL_CODES = frozenset({verdict.BAD_DIGEST.code})
+_REASONS = {
+    value.code: value for value in vars(verdict).values() if isinstance(value, Reason)
+}
+
+
+class Request(NamedTuple):
+    """A caller's request; `deadline` is on this entry's clock."""
+
+    account: str
+    klass: str
+    deadline: float
+    key: str
+    repeatable: bool
+    body: bytes
+
+
+class RequestServer:
+    """Serves requests through a router, dispatches and claims.
+
+    `confirm_age()` gives the age of the configuration's confirmation in
+    seconds, `revision()` its revision and `store_down()` whether claims can be
+    written at all. `new_id()` makes ids that no other process makes.
+    """
+
+    def __init__(
+        self, clock, sessions, router, dispatches, claims, environment, new_id
+    ):
+        self._clock = clock
+        self._sessions = sessions
+        self._router = router
+        self._dispatches = dispatches
+        self._claims = claims
+        self._environment = environment
+        self._new_id = new_id
+        self._budget = RetryBudget()
+        self._queries = {}
+        self._in_flight = 0
+        self._claiming = 0
+        self._closing = 0
+
+    @property
+    def in_flight(self):
+        """How many requests are being served, with answers not yet durable."""
+        return self._in_flight + self._closing
+
+    async def serve(self, request):
+        """Return the `Outcome` of a request."""
+        self._in_flight += 1
+        try:
+            if request.repeatable:
+                return await self._serve_repeatable(request)
+            return await self._serve_keyed(request)
+        finally:
+            self._in_flight -= 1
+            self._router.pump()
+
+    def on_query_reply(self, reply):
+        """Take in an agent's reply to a query."""
+        waiting = self._queries.pop(reply.query_id, None)
+        if waiting is not None:
+            waiting.callback(reply)
+
+    # Repeatable requests
+
+    async def _serve_repeatable(self, request):
+        may_have_run = False
+        reason = verdict.NO_UPSTREAM
+        skip = set()
+        for _ in range(MAX_TRIES):
+            session = await self._slot(request, skip)
+            if isinstance(session, Reason):
+                reason = session
+                break
+            if not may_have_run:
+                self._budget.earn()
+            ended = await self._dispatch(request, session, self._new_id(), "")
+            if isinstance(ended, Answer) and not ended.failed:
+                return Outcome(verdict.RAN, ended.status, ended.body)
+            skip.add(session.info.name)
+            if isinstance(ended, Refusal):
+                reason = _reason_of(ended)
+                if ended.code in _FATAL_CODES:
+                    break
+                skip = skip if ended.code != verdict.NO_SLOT.code else set()
+                continue
+            may_have_run = True
+            reason = _failure_of(ended)
+            if not self._budget.spend():
+                break
+        if may_have_run:
+            return verdict.may_have_run(reason)
+        return verdict.not_run(reason)
+
+    async def _slot(self, request, skip=()):
+        """Return a session with a free slot, or a `Reason`."""
+        if self._environment.confirm_age() > START_MAX_STALENESS_S:
+            return verdict.UNCONFIRMED
+        return await self._router.take(Ticket(request.klass, request.deadline, skip))
+
+    async def _dispatch(self, request, session, dispatch_id, key, permit=None):
+        """Send a dispatch and return the `Answer`, `Refusal` or `Lost`."""
+        started_at = self._clock.seconds()
+        dispatch = Dispatch(
+            dispatch_id,
+            request.account,
+            key,
+            session.permit if permit is None else permit,
+            session.info.incarnation,
+            self._environment.revision(),
+            int(max(0.0, self._environment.confirm_age()) * 1000) + 1,
+            int(max(0.0, request.deadline - started_at) * 1000),
+            request.body,
+            digest(request.body),
+        )
+        ended = self._dispatches.send(session, dispatch)
+        give_up = self._clock.callLater(
+            max(0.0, request.deadline - started_at) + ANSWER_GRACE_S,
+            self._dispatches.abandon,
+            dispatch_id,
+        )
+        result = await ended
+        if give_up.active():
+            give_up.cancel()
+        if isinstance(result, Answer):
+            self._router.service.observe(self._clock.seconds() - started_at)
+        self._router.pump()
+        return result
+
+    # Requests that are not repeatable
+
+    async def _serve_keyed(self, request):
+        if self._environment.store_down():
+            return verdict.not_run(verdict.STORE_DOWN)
+        found = await self._claims.read(request.account, request.key)
+        if isinstance(found, Unavailable):
+            return verdict.not_run(verdict.STORE_DOWN)
+        if found is not None:
+            return await self._follow(request, found)
+        return await self._claim_and_run(request)
+
+    async def _claim_and_run(self, request, refused=None, tries=MAX_TRIES):
+        """Claim the key, then dispatch under the claim.
+
+        `refused` is the claim to write over: its dispatch never ran and never
+        will. None means that there must be no claim yet.
+        """
+        session = await self._slot(request)
+        if isinstance(session, Reason):
+            if refused is not None:
+                return await self._void(request, refused, session)
+            return verdict.not_run(session)
+        claim = claim_rows.Claim(
+            self._new_id(),
+            session.info.name,
+            session.info.incarnation,
+            session.permit,
+            digest(request.body).hex(),
+        )
+        opened = await self._open(session, request, claim, refused)
+        if isinstance(opened, Reason):
+            if refused is not None:
+                return await self._void(request, refused, opened)
+            return verdict.not_run(opened)
+        ours, held = opened
+        if not ours:
+            return await self._follow(request, held)
+        current = self._sessions.get(session.info.name) or session
+        ended = await self._dispatch(
+            request, current, claim.dispatch_id, request.key, claim.permit
+        )
+        return await self._settle(request, held, ended, tries)
+
+    async def _open(self, session, request, claim, refused):
+        """Write the claim while holding a slot; only some of the slots wait so."""
+        if self._claiming >= max(1, self._router.slots() // 2):
+            return verdict.STORE_DOWN.about("too many claims are being written")
+        self._claiming += 1
+        session.take_slot(claim.dispatch_id)
+        version = refused.version if refused is not None else 0
+        opened = await self._claims.open(request.account, request.key, claim, version)
+        self._claiming -= 1
+        if isinstance(opened, Unavailable) or not opened[0]:
+            session.give_back(claim.dispatch_id)
+        if isinstance(opened, Unavailable):
+            return verdict.STORE_DOWN.about(opened.reason)
+        return opened
+
+    async def _settle(self, request, held, ended, tries):
+        """Turn the end of a keyed dispatch into an outcome and a closed claim."""
+        if isinstance(ended, Answer):
+            outcome = _answer_outcome(ended)
+            self._close_later(held, claim_rows.DONE, outcome)
+            return outcome
+        if isinstance(ended, Lost):
+            return verdict.may_have_run(ended.reason)
+        reason = _reason_of(ended)
+        late = self._clock.seconds() >= request.deadline
+        if tries > 1 and not late and ended.code not in _FATAL_CODES:
+            return await self._claim_and_run(request, held, tries - 1)
+        return await self._void(request, held, reason)
+
+    async def _void(self, request, held, reason):
+        """Close a claim whose dispatch was refused for good."""
+        outcome = verdict.not_run(reason)
+        closed = await self._claims.close(held, claim_rows.VOID, outcome)
+        if isinstance(closed, Unavailable):
+            if reason.code == verdict.SEALED.code:
+                return verdict.may_have_run(verdict.STORE_DOWN)
+            return outcome
+        ours, found = closed
+        return outcome if ours else await self._follow(request, found)
+
+    def _close_later(self, held, state, outcome):
+        """Make an outcome durable, then let the agent forget the answer."""
+        self._closing += 1
+        ensureDeferred(self._close(held, state, outcome))
+
+    async def _close(self, held, state, outcome):
+        try:
+            while isinstance(
+                await self._claims.close(held, state, outcome), Unavailable
+            ):
+                await deferLater(self._clock, _CLOSE_PAUSE_S)
+        finally:
+            self._closing -= 1
+        session = self._sessions.get(held.claim.agent)
+        if session is not None:
+            session.link.send(AnswerAck(held.claim.dispatch_id))
+
+    # Following a claim of another try
+
+    async def _follow(self, request, held):
+        """Return the outcome of the try that holds the claim, or run if none did."""
+        if held.claim.request_digest != digest(request.body).hex():
+            return verdict.not_run(verdict.KEY_REUSED)
+        if held.claim.state == claim_rows.VOID:
+            return await self._claim_and_run(request, held)
+        if held.claim.state == claim_rows.UNKNOWN:
+            return verdict.may_have_run(verdict.UPSTREAM_LOST)
+        if held.claim.state == claim_rows.DONE:
+            outcome = await self._claims.outcome_of(held.claim)
+            if isinstance(outcome, Unavailable):
+                return verdict.may_have_run(verdict.STORE_DOWN)
+            return outcome
+        return await self._ask_agent(request, held)
+
+    async def _ask_agent(self, request, held):
+        """Ask the agent that a claim names until the fate is known."""
+        give_up_at = request.deadline + ANSWER_GRACE_S
+        while self._clock.seconds() < give_up_at:
+            reply = await self._query(held)
+            if reply is None or reply.state == "running":
+                await deferLater(self._clock, _QUERY_PAUSE_S)
+                continue
+            if reply.state == "sealed":
+                return await self._claim_and_run(request, held)
+            if reply.state == "answered" and digest(reply.body) == reply.digest:
+                outcome = _answer_outcome(reply)
+                self._close_later(held, claim_rows.DONE, outcome)
+                return outcome
+            if reply.state != "answered":
+                outcome = verdict.may_have_run(verdict.UPSTREAM_LOST)
+                self._close_later(held, claim_rows.UNKNOWN, outcome)
+                return outcome
+        return verdict.may_have_run(verdict.UPSTREAM_LOST)
+
+    async def _query(self, held):
+        """Return the agent's `QueryReply`, or None if it does not answer."""
+        claim = held.claim
+        session = self._sessions.get(claim.agent)
+        if session is None:
+            return None
+        query_id = self._new_id()
+        waiting = _with_timeout(self._clock, _QUERY_TIMEOUT_S)
+        self._queries[query_id] = waiting
+        _claim, account, key = held.key.split("/", 2)
+        session.link.send(
+            Query(
+                query_id,
+                account,
+                key,
+                claim.dispatch_id,
+                claim.permit,
+                claim.incarnation,
+            )
+        )
+        reply = await waiting
+        self._queries.pop(query_id, None)
+        return reply
+
+
+def _with_timeout(clock, seconds):
+    """Return a Deferred that gives None after a time unless it fires before."""
+    waiting = Deferred()
+
+    def expire():
+        if not waiting.called:
+            waiting.callback(None)
+
+    clock.callLater(seconds, expire)
+    return waiting
+
+
+def _reason_of(refusal):
+    return _REASONS.get(refusal.code, Reason(refusal.code, refusal.detail))
+
+
+def _failure_of(ended):
+    if isinstance(ended, Lost):
+        return ended.reason
+    return verdict.UPSTREAM_FAILED.about(ended.body.decode(errors="replace"))
+
+
+def _answer_outcome(answer):
+    if answer.failed:
+        return verdict.may_have_run(
+            verdict.UPSTREAM_FAILED.about(answer.body.decode(errors="replace"))
+        )
+    return Outcome(verdict.RAN, answer.status, answer.body)
--- /dev/null
+++ b/packages/entry/src/samphiredeal/entry/routing.py
@@ -0,0 +1,169 @@
+"""Which agent a request goes to, and in which order requests wait for a slot."""
+
+import heapq
+import itertools
+
+from twisted.internet.defer import Deferred, succeed
+
+from samphiredeal.model import verdict
+from samphiredeal.model.job import URGENT
+
+# How many requests may wait for a slot at an entry.
+MAX_WAITING = 2000
+# Urgent requests may use the whole queue, others this share of it.
+NORMAL_QUEUE_SHARE = 0.8
+
+_SERVICE_WEIGHT = 0.1
+
+
+class Ticket:
+    """A request that waits for a slot until its deadline."""
+
+    __slots__ = ("deadline", "granted", "klass", "skip")
+
+    def __init__(self, klass, deadline, skip=()):
+        self.klass = klass
+        self.deadline = deadline
+        self.skip = frozenset(skip)
+        self.granted = Deferred()
+
+
+class ServiceTime:
+    """A moving average of how long requests hold a slot, in seconds."""
+
+    def __init__(self):
+        self._mean_s = 0.0
+
+    @property
+    def mean_s(self):
+        """The moving average; 0 before the first observation."""
+        return self._mean_s
+
+    def observe(self, seconds):
+        """Take in how long one request held its slot."""
+        if not self._mean_s:
+            self._mean_s = seconds
+        self._mean_s += _SERVICE_WEIGHT * (seconds - self._mean_s)
+
+
+class Router:
+    """Grants slots: urgent before normal, earlier deadlines first.
+
+    `allowed(session)` says whether an agent may get work now. `pick(sessions)`
+    returns two sessions, maybe the same, between which the freer one is taken.
+    """
+
+    def __init__(self, clock, sessions, allowed, zone, pick):
+        self._clock = clock
+        self._sessions = sessions
+        self._allowed = allowed
+        self._zone = zone
+        self._pick = pick
+        self._waiting = []
+        self._order = itertools.count()
+        self._service = ServiceTime()
+
+    @property
+    def waiting(self):
+        """How many requests wait for a slot."""
+        return len(self._waiting)
+
+    @property
+    def service(self):
+        """The time for which requests hold a slot."""
+        return self._service
+
+    def slots(self):
+        """Return how many slots the usable agents have together."""
+        return sum(s.info.slots for s in self._usable())
+
+    def take(self, ticket):
+        """Return a Deferred of a session with a free slot, or of a `Reason`."""
+        session = None if self._waiting else self._free_session(ticket.skip)
+        if session is not None:
+            return succeed(session)
+        reason = self._objection(ticket)
+        if reason is not None:
+            return succeed(reason)
+        later = ticket.klass != URGENT
+        entry = (later, ticket.deadline, next(self._order), ticket)
+        heapq.heappush(self._waiting, entry)
+        return ticket.granted
+
+    def pump(self):
+        """Grant free slots; refuse what can no longer start in time."""
+        now = self._clock.seconds()
+        while self._waiting:
+            ticket = self._waiting[0][-1]
+            if now + self._service.mean_s > ticket.deadline:
+                heapq.heappop(self._waiting)
+                ticket.granted.callback(verdict.DEADLINE)
+                continue
+            session = self._free_session(ticket.skip)
+            if session is None:
+                break
+            heapq.heappop(self._waiting)
+            ticket.granted.callback(session)
+        self._refuse_late(now)
+
+    def _refuse_late(self, now):
+        """Refuse waiting requests whose deadline passes before their service."""
+        limit = now + self._service.mean_s
+        late = [entry for entry in self._waiting if entry[1] < limit]
+        if late:
+            self._waiting = [entry for entry in self._waiting if entry[1] >= limit]
+            heapq.heapify(self._waiting)
+            for entry in late:
+                entry[-1].granted.callback(verdict.DEADLINE)
+
+    def _objection(self, ticket):
+        """Return why a request should not wait, or None."""
+        urgent = ticket.klass == URGENT
+        limit = MAX_WAITING * (1.0 if urgent else NORMAL_QUEUE_SHARE)
+        if len(self._waiting) >= limit:
+            return verdict.OVERLOADED
+        slots = self.slots()
+        if not slots:
+            return verdict.NO_UPSTREAM
+        ahead = sum(
+            1
+            for later, deadline, _order, _ticket in self._waiting
+            if (later, deadline) <= (not urgent, ticket.deadline)
+        )
+        expected = self._service.mean_s * (ahead / slots + 1)
+        if self._clock.seconds() + expected > ticket.deadline:
+            return verdict.DEADLINE
+        return None
+
+    def _usable(self):
+        return [s for s in self._sessions if s.is_executor and self._allowed(s)]
+
+    def _free_session(self, skip):
+        """Return the freer of two random agents, in this zone if one is free."""
+        free = [s for s in self._usable() if s.free > 0 and s.info.name not in skip]
+        near = [s for s in free if s.info.zone == self._zone]
+        if not free:
+            return None
+        first, second = self._pick(near or free)
+        return first if first.free >= second.free else second
+
+
+class RetryBudget:
+    """Allows repeated runs in proportion to first ones."""
+
+    SHARE = 0.1
+    MAX_SAVED = 10.0
+
+    def __init__(self):
+        self._saved = 1.0
+
+    def earn(self):
+        """Note a first run."""
+        self._saved = min(self.MAX_SAVED, self._saved + self.SHARE)
+
+    def spend(self):
+        """Return whether one more repeated run is allowed, and count it."""
+        if self._saved < 1.0:
+            return False
+        self._saved -= 1.0
+        return True
--- /dev/null
+++ b/packages/entry/src/samphiredeal/entry/scheduling.py
@@ -0,0 +1,356 @@
+"""The scheduler's host: runs the decisions at the entry that holds the lease.
+
+A new holder reads the active jobs from the table and hears from the agents
+what runs; agents are the truth about that. Jobs that were asked for before its
+time and that nobody reports as running are queued only after the members'
+lease has lapsed everywhere, so that none runs twice.
+"""
+
+import msgspec
+from twisted.internet.defer import ensureDeferred
+from twisted.internet.task import deferLater
+
+from samphiredeal.entry.gangs import GangDriver, GangEnded
+from samphiredeal.entry.jobstore import job_from_dict
+from samphiredeal.entry.sessions import LOST_S
+from samphiredeal.platform.table import Unavailable
+from samphiredeal.policy.actions import FinishJob, StartAttempt, StopAttempt
+from samphiredeal.policy.explain import explain
+from samphiredeal.policy.scheduler import Scheduler
+from samphiredeal.wire.messages import (
+    AgentReport,
+    MemberRefused,
+    MembersEnded,
+    Reserved,
+    Started,
+)
+
+LOAD_RETRY_S = 1.0
+# After an attempt that no worker let start, the job waits before the next try.
+RETRY_PAUSE_S = 1.0
+
+
+class SchedulerHost:
+    """Joins the decisions to agents and the table for one epoch.
+
+    `send(worker, message)` sends to an agent by way of its home entry;
+    `stamp()` returns (epoch, revision, confirmation age in ms).
+    """
+
+    def __init__(self, clock, jobs, send, stamp, make_scheduler=Scheduler):
+        self._clock = clock
+        self._jobs = jobs
+        self._epoch = stamp()[0]
+        self._scheduler = make_scheduler()
+        self._driver = GangDriver(clock, send, self._on_gang_event, stamp)
+        self._send = send
+        self._began_at = clock.seconds()
+        self._incarnations = {}
+        self._reports = {}
+        self._done_reports = {}
+        self._held_back = {}
+        self._pausing = {}
+        self._finished = set()
+        self._dirty = True
+        self._stopped = False
+        self._loaded = False
+
+    @property
+    def scheduler(self):
+        """The decisions' state."""
+        return self._scheduler
+
+    @property
+    def driver(self):
+        """The attempts' progress."""
+        return self._driver
+
+    @property
+    def epoch(self):
+        """The epoch of the lease under which this host decides."""
+        return self._epoch
+
+    @property
+    def loaded(self):
+        """Whether the active jobs have been read from the table."""
+        return self._loaded
+
+    def begin(self, configuration):
+        """Start to gather what runs and what was asked for."""
+        self._scheduler.configure(configuration, self._clock.seconds())
+        ensureDeferred(self._load())
+
+    def end(self):
+        """Stop deciding: another entry holds the lease."""
+        self._stopped = True
+
+    def configure(self, configuration):
+        """Take in a configuration."""
+        self._scheduler.configure(configuration, self._clock.seconds())
+        self._dirty = True
+
+    def worker_up(self, info):
+        """Take in that an agent announced its worker."""
+        known = self._incarnations.get(info.name)
+        if known is not None and known != info.incarnation:
+            self.worker_lost(info.name)
+        self._incarnations[info.name] = info.incarnation
+        self._scheduler.worker_up(info, self._clock.seconds())
+        self._dirty = True
+
+    def worker_lost(self, name):
+        """Take in that an agent is lost, or that its worker left."""
+        self._incarnations.pop(name, None)
+        self._scheduler.worker_lost(name)
+        self._driver.on_worker_lost(name)
+        self._dirty = True
+
+    def submit(self, job):
+        """Take in a job whose row is written."""
+        if job.id in self._finished or job.id in self._held_back:
+            return
+        self._scheduler.submit(job, self._clock.seconds())
+        self._dirty = True
+
+    def submit_found(self, record):
+        """Take in an active row, unless the job is known already."""
+        job_id = record.job.id
+        known = job_id in self._pausing or self._scheduler.attempt_of(job_id)
+        if not known:
+            self.submit(record.job)
+
+    def refusal(self, fields):
+        """Return why a job, given by its fields, can never run, or None."""
+        return self._scheduler.refusal(job_from_dict(fields))
+
+    def workers(self):
+        """Return the workers as JSON-ready objects."""
+        return [
+            {
+                "name": worker.name,
+                "zone": worker.zone,
+                "rack": worker.rack,
+                "capacity": list(worker.capacity),
+                "free": list(worker.free),
+                "usable": worker.usable,
+                "labels": worker.labels,
+                "attempts": sorted(worker.attempts),
+            }
+            for worker in self._scheduler.cluster.workers.values()
+        ]
+
+    def cancel(self, job_id):
+        """Cancel a job whose row says so."""
+        held = self._held_back.pop(job_id, None)
+        if held is not None or self._pausing.pop(job_id, None) is not None:
+            self._finish(FinishJob(job_id, "cancelled", "cancelled"))
+        else:
+            self._scheduler.cancel(job_id)
+        self.decide()
+
+    def on_agent_message(self, worker, incarnation, message):
+        """Take in a message of an agent."""
+        if self._incarnations.get(worker) != incarnation:
+            return
+        if isinstance(message, Reserved):
+            self._driver.on_reserved(worker, message)
+        elif isinstance(message, Started):
+            self._driver.on_started(worker, message)
+        elif isinstance(message, MemberRefused):
+            self._driver.on_refused(worker, message)
+        elif isinstance(message, MembersEnded):
+            self._driver.on_ended(worker, message)
+        elif isinstance(message, AgentReport):
+            self._on_report(worker, message)
+        self._dirty = True
+
+    def tick(self):
+        """Repeat messages and decide if there is something to decide."""
+        if self._stopped:
+            return
+        self._driver.tick()
+        now = self._clock.seconds()
+        if self._held_back and now - self._began_at > LOST_S:
+            self._release_held_back()
+        for job_id, (job, due, since, progress_s) in list(self._pausing.items()):
+            if due <= now:
+                del self._pausing[job_id]
+                self._scheduler.submit(job, since, progress_s)
+                self._dirty = True
+        wakeup = self._scheduler.next_wakeup(now)
+        if self._dirty or (wakeup is not None and wakeup <= now):
+            self.decide()
+
+    def decide(self):
+        """Decide now and carry the actions out."""
+        if self._stopped:
+            return
+        self._dirty = False
+        for action in self._scheduler.decide(self._clock.seconds()):
+            if isinstance(action, StartAttempt):
+                ensureDeferred(self._start(action))
+            elif isinstance(action, StopAttempt):
+                self._driver.stop(
+                    action.attempt_id, action.checkpoint, action.grace_s, action.reason
+                )
+            elif isinstance(action, FinishJob):
+                self._finish(action)
+
+    def explain(self, job_id):
+        """Return what there is to say of a job as a JSON-ready object."""
+        if job_id in self._held_back:
+            return {"state": "held", "why": "a scheduler before may have started it"}
+        return explain(self._scheduler, job_id, self._clock.seconds())
+
+    def check_configuration(self, configuration):
+        """Return (reason to refuse or None, warnings) for accounts' guarantees."""
+        return self._scheduler.check(configuration)
+
+    async def _load(self):
+        while not self._stopped:
+            records = await self._jobs.all_active()
+            if not isinstance(records, Unavailable):
+                break
+            await deferLater(self._clock, LOAD_RETRY_S)
+        else:
+            return
+        self._loaded = True
+        for record in records:
+            if record.job.id not in self._finished:
+                self._take_in(record)
+        self._dirty = True
+
+    def _take_in(self, record):
+        job = record.job
+        if self._scheduler.attempt_of(job.id) or job.id in self._scheduler.queue:
+            return
+        if record.cancelled:
+            self._held_back[job.id] = None
+        else:
+            self._held_back[job.id] = record
+
+    def _release_held_back(self):
+        """Queue what no agent reports as running; end what may have run."""
+        held, self._held_back = self._held_back, {}
+        for attempt_id in list(self._reports):
+            self._stop_partial(attempt_id)
+        for job_id, record in held.items():
+            if self._scheduler.attempt_of(job_id):
+                continue
+            if record is None:
+                self._finish(FinishJob(job_id, "cancelled", "cancelled"))
+            elif record.attempt and not record.job.repeatable:
+                reason = f"attempt {record.attempt} may have run"
+                self._finish(FinishJob(job_id, "failed", reason))
+            else:
+                self._scheduler.submit(record.job, self._clock.seconds())
+        self._dirty = True
+
+    def _on_report(self, worker, report):
+        """Take in what an agent holds; adopt attempts that are whole."""
+        if report.epoch > self._epoch:
+            return
+        for held in msgspec.json.decode(report.running):
+            attempt_id = held["attempt"]
+            if held["state"] == "running":
+                self._on_running(worker, attempt_id, held)
+            elif held["state"] in ("done", "failed", "stopped", "never-started"):
+                self._on_ended_report(worker, attempt_id, held)
+
+    def _on_ended_report(self, worker, attempt_id, held):
+        """Take in an end; the holder before may have died before recording it."""
+        if attempt_id in self._driver.gangs or held["state"] != "done":
+            ended = MembersEnded(
+                attempt_id, held["state"], held["detail"], held["progress_s"]
+            )
+            self._driver.on_ended(worker, ended)
+            return
+        job = job_from_dict(held["job"])
+        places = self._done_reports.setdefault(attempt_id, {})
+        places[worker] = held["count"]
+        if sum(places.values()) == job.members and self._held_back.pop(job.id, None):
+            self._finish(FinishJob(job.id, "done", ""))
+
+    def _on_running(self, worker, attempt_id, held):
+        if attempt_id in self._driver.gangs:
+            return
+        job = job_from_dict(held["job"])
+        places = self._reports.setdefault(attempt_id, (job, {}))[1]
+        places[worker] = held["count"]
+        if sum(places.values()) < job.members:
+            return
+        del self._reports[attempt_id]
+        other = self._scheduler.attempt_of(job.id)
+        if other is not None or job.id in self._finished:
+            self._stop_everywhere(attempt_id, places)
+            return
+        cancelled = job.id in self._held_back and self._held_back[job.id] is None
+        self._held_back.pop(job.id, None)
+        self._scheduler.adopt(job, attempt_id, places, self._clock.seconds())
+        self._driver.adopt(attempt_id, held["job"], places)
+        if cancelled:
+            self._scheduler.cancel(job.id)
+
+    def _stop_partial(self, attempt_id):
+        _job, places = self._reports.pop(attempt_id)
+        self._stop_everywhere(attempt_id, places)
+
+    def _stop_everywhere(self, attempt_id, places):
+        """Stop an attempt that must not go on; its end is not awaited."""
+        job = {"shape": [0, 0, 0]}
+        self._driver.adopt(attempt_id, job, places)
+        self._driver.stop(attempt_id, False, 0.0, "not whole")
+
+    async def _start(self, action):
+        job = action.job
+        if not job.repeatable:
+            record = await self._jobs.record_attempt(job.id, action.attempt_id)
+            if self._stopped:
+                return
+            if isinstance(record, Unavailable) or record is None or record.cancelled:
+                self._not_started(action.attempt_id)
+                return
+        attempt = self._scheduler.attempts.get(action.attempt_id)
+        if attempt is None or attempt.state != "running":
+            self._not_started(action.attempt_id)
+            return
+        document = {**job._asdict(), "progress_s": attempt.progress_s}
+        self._driver.start(action.attempt_id, document, action.places)
+
+    def _not_started(self, attempt_id):
+        self._on_gang_event(GangEnded(attempt_id, "stopped", 0.0, False, ()))
+
+    def _on_gang_event(self, event):
+        now = self._clock.seconds()
+        self._dirty = True
+        if not isinstance(event, GangEnded):
+            self._scheduler.started(event, now)
+            return
+        attempt = self._scheduler.attempts.get(event.attempt_id)
+        if attempt is None:
+            return
+        job = attempt.job
+        if event.ran and not job.repeatable and event.state == "stopped":
+            reason = f"attempt {event.attempt_id} may have run"
+            self._scheduler.give_up(event.attempt_id, reason)
+            return
+        self._scheduler.ended(
+            event.attempt_id, now, event.state, event.progress_s, event.blame
+        )
+        if not event.ran and event.state == "stopped":
+            self._pause(job.id, now)
+
+    def _pause(self, job_id, now):
+        """Keep a job that no worker let start from being tried at once again."""
+        waiting = self._scheduler.queue.remove(job_id)
+        if waiting is not None:
+            self._pausing[job_id] = (
+                waiting.job,
+                now + RETRY_PAUSE_S,
+                waiting.since,
+                waiting.progress_s,
+            )
+
+    def _finish(self, action):
+        self._finished.add(action.job_id)
+        ensureDeferred(self._jobs.finish(action.job_id, action.state, action.reason))
--- /dev/null
+++ b/packages/entry/src/samphiredeal/entry/sessions.py
@@ -0,0 +1,118 @@
+"""Agents that are linked to this entry, with what they last told of themselves."""
+
+from typing import NamedTuple
+
+from samphiredeal.model.job import WorkerInfo
+from samphiredeal.model.shape import Shape
+from samphiredeal.wire.messages import EXECUTOR
+
+# An agent silent for this long gets no dispatches.
+SUSPECT_S = 1.5
+# An agent silent for this long is lost; longer than its members' own lease.
+LOST_S = 10.0
+
+
+class AgentInfo(NamedTuple):
+    """What an agent announced in its hello."""
+
+    name: str
+    kind: str
+    zone: str
+    rack: str
+    incarnation: str
+    capacity: Shape
+    slots: int
+    labels: dict
+
+    @property
+    def worker(self):
+        """The worker that the scheduler sees."""
+        return WorkerInfo(
+            self.name,
+            self.zone,
+            self.rack,
+            self.capacity,
+            tuple(sorted(self.labels.items())),
+            self.incarnation,
+        )
+
+
+class Session:
+    """One agent and its newest link."""
+
+    def __init__(self, info, link, now):
+        self.info = info
+        self.link = link
+        self.heard_at = now
+        self.permit = 0
+        self.free = 0
+        self.unacknowledged = set()
+        self.leaving = False
+        self.revision = 0
+        self.heard = []
+        self.entries_sent = None
+
+    @property
+    def is_executor(self):
+        """Whether the agent serves requests."""
+        return self.info.kind == EXECUTOR
+
+    def take_slot(self, dispatch_id):
+        """Count a dispatch that the agent has not acknowledged yet."""
+        if dispatch_id not in self.unacknowledged:
+            self.unacknowledged.add(dispatch_id)
+            self.free -= 1
+
+    def give_back(self, dispatch_id):
+        """Give back the slot of a dispatch that was never sent."""
+        if dispatch_id in self.unacknowledged:
+            self.unacknowledged.discard(dispatch_id)
+            self.free += 1
+
+    def on_heartbeat(self, heartbeat, now):
+        """Take in a heartbeat; dispatches on their way still take their slots."""
+        self.heard_at = now
+        self.permit = max(self.permit, heartbeat.sequence)
+        self.free = heartbeat.free - len(self.unacknowledged)
+        self.leaving = heartbeat.leaving
+        self.revision = heartbeat.revision
+        self.heard = heartbeat.heard
+
+
+class Sessions:
+    """Sessions by agent name."""
+
+    def __init__(self, clock):
+        self._clock = clock
+        self._by_name = {}
+
+    def __iter__(self):
+        return iter(list(self._by_name.values()))
+
+    def get(self, name):
+        """Return the session of an agent, or None."""
+        return self._by_name.get(name)
+
+    def open(self, info, link):
+        """Note a new link; return (session, the session it replaces or None)."""
+        old = self._by_name.get(info.name)
+        session = Session(info, link, self._clock.seconds())
+        if old is not None and old.info.incarnation == info.incarnation:
+            session.permit = old.permit
+            session.unacknowledged = old.unacknowledged
+        self._by_name[info.name] = session
+        return session, old
+
+    def close(self, session):
+        """Drop a session unless a newer one has taken its place."""
+        if self._by_name.get(session.info.name) is session:
+            del self._by_name[session.info.name]
+
+    def is_live(self, session):
+        """Return whether the agent was heard lately."""
+        return self._clock.seconds() - session.heard_at <= SUSPECT_S
+
+    def lost(self):
+        """Return the sessions whose agents have been silent for too long."""
+        limit = self._clock.seconds() - LOST_S
+        return [s for s in self._by_name.values() if s.heard_at < limit]
--- /dev/null
+++ b/packages/model/src/samphiredeal/model/__init__.py
@@ -0,0 +1,1 @@
+"""Data that every part of samphiredeal shares, without I/O."""
--- /dev/null
+++ b/packages/model/src/samphiredeal/model/job.py
@@ -0,0 +1,54 @@
+"""Jobs: gangs of one or more members that run whole or not at all."""
+
+from typing import NamedTuple
+
+from samphiredeal.model.shape import Shape
+
+URGENT = "urgent"
+NORMAL = "normal"
+CLASSES = (URGENT, NORMAL)
+
+ANYWHERE = "any"
+SAME_ZONE = "zone"
+SAME_RACK = "rack"
+SAME_WORKER = "worker"
+ADJACENCIES = (ANYWHERE, SAME_ZONE, SAME_RACK, SAME_WORKER)
+
+
+class Job(NamedTuple):
+    """What a caller asked for.
+
+    `members` tasks of `shape` each start together, placed within one worker,
+    rack or zone if `adjacency` says so. `movable` work may be checkpointed and
+    moved aside. `declared_s` is the caller's estimate of the run time.
+    """
+
+    id: str
+    account: str
+    shape: Shape
+    members: int = 1
+    klass: str = NORMAL
+    adjacency: str = ANYWHERE
+    selector: str = ""
+    movable: bool = True
+    repeatable: bool = True
+    declared_s: float = 3600.0
+    kind: str = ""
+    command: str = ""
+    labels: dict = {}
+
+    @property
+    def total(self):
+        """The shape of all members together."""
+        return self.shape.times(self.members)
+
+
+class WorkerInfo(NamedTuple):
+    """A worker as its agent announces it."""
+
+    name: str
+    zone: str
+    rack: str
+    capacity: Shape
+    labels: tuple = ()
+    incarnation: str = ""
--- /dev/null
+++ b/packages/platform/src/samphiredeal/platform/table.py
@@ -0,0 +1,98 @@
+"""The interface of the table service.
+
+An implementation has three methods, each returning a Deferred that never
+fails; what went wrong is told by the answer.
+
+- ``read(key)`` gives a `Row` (version 0 if absent) or an `Unavailable`.
+- ``scan(prefix, after, limit)`` gives a list of rows in key order, or an
+  `Unavailable`. Pages are made by passing the last key as `after`.
+- ``write(conditions, puts, deletes)`` applies all or nothing. It gives
+  `Committed`, a `Conflict` with the row that broke a condition, or an
+  `Unavailable`, after which the write may or may not have been applied.
+
+An object store has ``put(name, data)`` and ``get(name)``, which give `STORED`,
+the bytes, `NO_OBJECT` or an `Unavailable`.
+"""
+
+from typing import NamedTuple
+
+from twisted.internet.task import deferLater
+
+
+class Row(NamedTuple):
+    """A row; version 0 means that there is none."""
+
+    key: str
+    version: int = 0
+    value: bytes = b""
+
+
+class Condition(NamedTuple):
+    """The row must have this version (0: must be absent) for a write to apply."""
+
+    key: str
+    version: int
+
+
+class Put(NamedTuple):
+    """Write this value; the version rises by one."""
+
+    key: str
+    value: bytes
+
+
+class Committed(NamedTuple):
+    """The write was applied; `versions` holds the new version of each put."""
+
+    versions: dict
+
+
+class Conflict(NamedTuple):
+    """A condition did not hold; nothing was written."""
+
+    row: Row
+
+
+class Unavailable(NamedTuple):
+    """The service gave no answer; a write may have been applied."""
+
+    reason: str
+
+
+class _Marker(NamedTuple):
+    name: str
+
+
+STORED = _Marker("stored")
+NO_OBJECT = _Marker("no-object")
+
+_SETTLE_PAUSE_S = 0.2
+
+
+async def write_settled(clock, table, conditions, puts, deletes=(), give_up_at=None):
+    """Write and settle lost answers by re-reading the first put row.
+
+    The first put must carry a value that is unique to this write (an id), so
+    that reading it back tells whether a write without an answer was applied.
+    Repeats the same conditional write until it is settled or `give_up_at` on
+    the clock passes, and returns the final answer; `Unavailable` then means
+    that the fate is still unknown.
+    """
+    own = puts[0]
+    while True:
+        answer = await table.write(conditions, puts, deletes)
+        if not isinstance(answer, Unavailable):
+            return await _settled_conflict(table, answer, own)
+        if give_up_at is not None and clock.seconds() >= give_up_at:
+            return answer
+        await deferLater(clock, _SETTLE_PAUSE_S)
+
+
+async def _settled_conflict(table, answer, own):
+    """Turn a conflict with our own earlier write into `Committed`."""
+    if isinstance(answer, Committed):
+        return answer
+    row = answer.row if answer.row.key == own.key else await table.read(own.key)
+    if isinstance(row, Row) and row.value == own.value:
+        return Committed({own.key: row.version})
+    return answer
--- /dev/null
+++ b/packages/policy/src/samphiredeal/policy/cluster.py
@@ -0,0 +1,188 @@
+"""The workers and the room on them, with indexes kept by each change.
+
+`used` counts what is placed on a worker, including work that waits for others
+to make way, so `free` may be negative while that lasts.
+"""
+
+from sortedcontainers import SortedDict, SortedList
+
+from samphiredeal.model import selector
+from samphiredeal.model.shape import NOTHING
+
+
+class Worker:
+    """One worker; `reserved` is the sum of the guarantee slices it holds."""
+
+    __slots__ = (
+        "attempts",
+        "capacity",
+        "covered",
+        "free",
+        "held_for",
+        "incarnation",
+        "labels",
+        "name",
+        "rack",
+        "reserved",
+        "slices",
+        "usable",
+        "zone",
+    )
+
+    def __init__(self, info, labels):
+        self.name = info.name
+        self.zone = info.zone
+        self.rack = info.rack
+        self.capacity = info.capacity
+        self.incarnation = info.incarnation
+        self.labels = labels
+        self.free = info.capacity
+        self.covered = NOTHING
+        self.reserved = NOTHING
+        self.slices = set()
+        self.attempts = {}
+        self.usable = True
+        self.held_for = None
+
+    @property
+    def unreserved(self):
+        """The room that no guarantee slice holds."""
+        return self.capacity.minus(self.reserved)
+
+    @property
+    def lendable(self):
+        """The room that is not used by work within a guarantee."""
+        return self.capacity.minus(self.covered)
+
+
+class Cluster:
+    """All workers of a scheduler, indexed by zone and free accelerators."""
+
+    def __init__(self):
+        self._workers = {}
+        self._by_zone = SortedDict()
+        self._capacity = NOTHING
+        self._version = 0
+        self._usable_accelerators = 0
+        self._free_accelerators = {}
+
+    @property
+    def workers(self):
+        """Workers by name."""
+        return self._workers
+
+    @property
+    def zones(self):
+        """The names of zones with usable workers, in order."""
+        return [zone for zone, index in self._by_zone.items() if index]
+
+    @property
+    def capacity(self):
+        """The capacity of all usable workers together."""
+        return self._capacity
+
+    @property
+    def version(self):
+        """Rises whenever room appears, so that blocked work is tried again."""
+        return self._version
+
+    @property
+    def free_classes(self):
+        """How many usable workers have each number of free accelerators."""
+        return self._free_accelerators
+
+    def add(self, worker):
+        """Add a worker."""
+        self._workers[worker.name] = worker
+        if worker.usable:
+            self._index(worker)
+
+    def remove(self, name):
+        """Remove a worker and return it, or None."""
+        worker = self._workers.pop(name, None)
+        if worker is not None and worker.usable:
+            self._unindex(worker)
+        return worker
+
+    def set_usable(self, worker, usable):
+        """Say whether new work may be placed on the worker."""
+        if usable != worker.usable:
+            if worker.usable:
+                self._unindex(worker)
+            worker.usable = usable
+            if usable:
+                self._index(worker)
+
+    def occupy(self, worker, attempt_id, shape, covered):
+        """Place a shape of an attempt on the worker."""
+        self._move(worker, worker.free.minus(shape))
+        worker.attempts[attempt_id] = (shape, covered)
+        if covered:
+            worker.covered = worker.covered.plus(shape)
+
+    def release(self, worker, attempt_id):
+        """Take an attempt off the worker."""
+        entry = worker.attempts.pop(attempt_id, None)
+        if entry is None:
+            return
+        shape, covered = entry
+        self._move(worker, worker.free.plus(shape))
+        if covered:
+            worker.covered = worker.covered.minus(shape)
+        self._version += 1
+
+    def touch(self):
+        """Note that blocked work should be tried again."""
+        self._version += 1
+
+    def candidates(self, zone, shape):
+        """Yield usable workers of a zone that have room, tightest fit first."""
+        index = self._by_zone.get(zone)
+        if index is None:
+            return
+        start = index.bisect_left((shape.accelerators, shape.cpu_milli, ""))
+        for _accelerators, _cpu, name in index.islice(start):
+            worker = self._workers[name]
+            if shape.fits(worker.free):
+                yield worker
+
+    def usable_in(self, zone):
+        """Yield the usable workers of a zone."""
+        for _accelerators, _cpu, name in self._by_zone.get(zone, ()):
+            yield self._workers[name]
+
+    def _move(self, worker, free):
+        if worker.usable:
+            self._by_zone[worker.zone].remove(_key(worker))
+            self._count(worker.free.accelerators, -1)
+        worker.free = free
+        if worker.usable:
+            self._by_zone[worker.zone].add(_key(worker))
+            self._count(free.accelerators, 1)
+
+    def _count(self, accelerators, change):
+        left = self._free_accelerators.get(accelerators, 0) + change
+        if left:
+            self._free_accelerators[accelerators] = left
+        else:
+            del self._free_accelerators[accelerators]
+
+    def _index(self, worker):
+        self._by_zone.setdefault(worker.zone, SortedList()).add(_key(worker))
+        self._capacity = self._capacity.plus(worker.capacity)
+        self._count(worker.free.accelerators, 1)
+        self._version += 1
+
+    def _unindex(self, worker):
+        self._by_zone[worker.zone].remove(_key(worker))
+        self._capacity = self._capacity.minus(worker.capacity)
+        self._count(worker.free.accelerators, -1)
+
+
+def _key(worker):
+    return (worker.free.accelerators, worker.free.cpu_milli, worker.name)
+
+
+def allows(text, worker):
+    """Return whether a selector's text allows the worker."""
+    return not text or selector.matches(selector.parse(text), worker.labels)
--- /dev/null
+++ b/packages/policy/src/samphiredeal/policy/scheduler.py
@@ -0,0 +1,735 @@
+"""The scheduler's state and its decisions.
+
+The host feeds events (jobs, workers, configuration, ends of attempts) and calls
+`decide`, which returns actions. Time is passed in; nothing here does I/O.
+"""
+
+import hashlib
+
+from samphiredeal.model import configuration as config
+from samphiredeal.model import selector
+from samphiredeal.model.job import URGENT
+from samphiredeal.model.shape import NOTHING
+from samphiredeal.policy import coverage, placement, reservation, scoring
+from samphiredeal.policy.actions import FinishJob, StartAttempt, StopAttempt
+from samphiredeal.policy.cluster import Cluster, Worker, allows
+from samphiredeal.policy.estimate import CAUTIOUS, Estimator
+from samphiredeal.policy.health import Health
+from samphiredeal.policy.ledger import Ledger
+from samphiredeal.policy.queue import Queue, Waiting
+from samphiredeal.policy.reclaim import choose_victims
+
+# Grace for a checkpoint. Urgent work must start within 5.7 s of asking; the
+# rest of that time is for the stop, the reservation and the start.
+RECLAIM_GRACE_S = 2.5
+ZONE_GRACE_S = 20.0
+# The workers of a zone that comes back are used again spread over this time.
+ZONE_RETURN_S = 30.0
+# Distinct blocked signatures after which a line of jobs is left for later.
+_BLOCKED_PER_LINE = 8
+
+AWAITING_ROOM = "awaiting-room"
+RUNNING = "running"
+STOPPING = "stopping"
+
+
+class Attempt:
+    """One try at running a job."""
+
+    __slots__ = (
+        "covered",
+        "id",
+        "job",
+        "movable",
+        "places",
+        "progress_s",
+        "protected_until",
+        "shape",
+        "since",
+        "started_at",
+        "state",
+    )
+
+    def __init__(self, attempt_id, waiting, places, shape, covered):
+        self.id = attempt_id
+        self.job = waiting.job
+        self.since = waiting.since
+        self.progress_s = waiting.progress_s
+        self.places = places
+        self.shape = shape
+        self.covered = covered
+        self.movable = True
+        self.protected_until = 0.0
+        self.state = AWAITING_ROOM
+        self.started_at = None
+
+
+class Scheduler:
+    """Decides for one region; `make_score(mix)` gives the scoring of places."""
+
+    def __init__(
+        self,
+        make_score=lambda mix: scoring.sparing_guarantees(scoring.expected_loss(mix)),
+        reserve_after_s=reservation.RESERVE_AFTER_S,
+    ):
+        self._cluster = Cluster()
+        self._ledger = Ledger(self._cluster)
+        self._queue = Queue()
+        self._attempts = {}
+        self._attempt_of = {}
+        self._mix = scoring.ShapeMix()
+        self._score = make_score(self._mix)
+        self._estimator = Estimator()
+        self._health = Health()
+        self._configuration = config.EMPTY
+        self._usage = {}
+        self._reservations = {}
+        self._reserve_after_s = reserve_after_s
+        self._returning = {}
+        self._awaiting = {}
+        self._blocked = {}
+        self._blocked_version = -1
+        self._actions = []
+        self._attempt_count = 0
+        self._infos = {}
+
+    @property
+    def cluster(self):
+        """The workers."""
+        return self._cluster
+
+    @property
+    def ledger(self):
+        """The guarantee ledger."""
+        return self._ledger
+
+    @property
+    def queue(self):
+        """The jobs that wait."""
+        return self._queue
+
+    @property
+    def attempts(self):
+        """Attempts by id."""
+        return self._attempts
+
+    @property
+    def estimator(self):
+        """The learned corrections."""
+        return self._estimator
+
+    @property
+    def health(self):
+        """Failures of workers and jobs."""
+        return self._health
+
+    @property
+    def reservations(self):
+        """Reservations by job id."""
+        return self._reservations
+
+    def attempt_of(self, job_id):
+        """Return the attempt of a job, or None."""
+        return self._attempts.get(self._attempt_of.get(job_id))
+
+    # Workers and configuration
+
+    def worker_up(self, info, now):
+        """Take in a worker that announced itself, or announced itself again."""
+        known = self._cluster.workers.get(info.name)
+        if known is not None:
+            if known.capacity == info.capacity and known.zone == info.zone:
+                known.incarnation = info.incarnation
+                self._relabel(known, info)
+                return
+            self.worker_lost(info.name)
+        self._infos[info.name] = info
+        worker = Worker(info, self._configuration.labels_of(info))
+        worker.usable = not self._configuration.zone_is_out(info.zone)
+        self._cluster.add(worker)
+        self._ledger.repair()
+
+    def worker_lost(self, name):
+        """Remove a worker; the host ends the attempts that ran there."""
+        worker = self._cluster.remove(name)
+        self._infos.pop(name, None)
+        if worker is None:
+            return
+        self._uncover(self._ledger.worker_gone(worker))
+        for attempt_id in list(worker.attempts):
+            self._attempts[attempt_id].places.pop(name, None)
+        self._returning.pop(name, None)
+
+    def configure(self, configuration, now):
+        """Take in a configuration of a higher revision."""
+        old, self._configuration = self._configuration, configuration
+        for name, info in self._infos.items():
+            self._relabel(self._cluster.workers[name], info)
+        for zone in {w.zone for w in self._cluster.workers.values()}:
+            was_out, is_out = old.zone_is_out(zone), configuration.zone_is_out(zone)
+            if is_out and not was_out:
+                self._zone_out(zone)
+            elif was_out and not is_out:
+                self._zone_back(zone, now)
+        if old.accounts != configuration.accounts:
+            self._uncover(self._ledger.configure(configuration.accounts))
+        self._cluster.touch()
+
+    def _relabel(self, worker, info):
+        labels = self._configuration.labels_of(info)
+        if labels != worker.labels:
+            worker.labels = labels
+            self._cluster.touch()
+
+    def _zone_out(self, zone):
+        """Stop placing work in a zone and move what may be moved, urgent first."""
+        workers = [w for w in self._cluster.workers.values() if w.zone == zone]
+        for worker in workers:
+            self._returning.pop(worker.name, None)
+            self._cluster.set_usable(worker, False)
+        leaving = {a for worker in workers for a in worker.attempts}
+        for worker in workers:
+            self._uncover(self._ledger.worker_gone(worker))
+        ordered = sorted(leaving, key=lambda a: (self._urgency(a), a))
+        for attempt_id in ordered:
+            if self._attempts[attempt_id].movable:
+                self._stop(attempt_id, ZONE_GRACE_S, f"zone {zone} is out")
+        for job_id, held in list(self._reservations.items()):
+            if any(self._cluster.workers[n].zone == zone for n in held.places):
+                self._drop_reservation(job_id)
+
+    def _urgency(self, attempt_id):
+        return self._attempts[attempt_id].job.klass != URGENT
+
+    def _zone_back(self, zone, now):
+        """Use the workers of a zone again, spread over `ZONE_RETURN_S`."""
+        for worker in self._cluster.workers.values():
+            if worker.zone == zone:
+                spread = hashlib.blake2b(worker.name.encode(), digest_size=2).digest()
+                share = int.from_bytes(spread, "big") / 65536
+                self._returning[worker.name] = now + share * ZONE_RETURN_S
+
+    def _uncover(self, attempt_ids):
+        """Take the cover of a guarantee from attempts that lost their slices."""
+        for attempt_id in attempt_ids:
+            attempt = self._attempts.get(attempt_id)
+            if attempt is None:
+                continue
+            attempt.covered = False
+            for name in attempt.places:
+                worker = self._cluster.workers.get(name)
+                if worker is not None and attempt_id in worker.attempts:
+                    shape, _covered = worker.attempts[attempt_id]
+                    self._cluster.release(worker, attempt_id)
+                    self._cluster.occupy(worker, attempt_id, shape, False)
+
+    # Jobs
+
+    def refusal(self, job):
+        """Return why a job can never run as it is, or None."""
+        account = self._configuration.accounts.get(job.account)
+        if account is None:
+            return f"account: {job.account!r} is unknown"
+        if not self._cluster.workers:
+            return None
+        missing = placement.nearest_miss(
+            self._cluster, job, account.get("selector", "")
+        )
+        if missing is None and not self._is_movable(job) and not self._ever_covers(job):
+            return "movable: work that may not be moved must fit the guarantee"
+        return missing
+
+    def check(self, configuration):
+        """Return (reason to refuse or None, warnings) for accounts' guarantees.
+
+        Guarantees that cannot be packed onto the known workers are refused;
+        those that would not survive the loss of one zone give warnings.
+        """
+        infos = list(self._infos.values())
+        if not infos:
+            return None, ["no worker is known, so the guarantees are not checked"]
+        unplaced = _trial_ledger(infos, configuration, None).unplaced()
+        if unplaced:
+            piece = unplaced[0]
+            lack = f"{len(unplaced)} slices, first {tuple(piece.line.shape)}"
+            return f"guarantees do not fit: account {piece.account}: {lack}", []
+        zones = sorted({info.zone for info in infos})
+        return None, [
+            f"guarantees do not survive the loss of zone {zone}"
+            for zone in zones
+            if _trial_ledger(infos, configuration, zone).unplaced()
+        ]
+
+    def submit(self, job, now, progress_s=0.0):
+        """Take in a job; one that is known already is left as it is."""
+        if job.id in self._queue or job.id in self._attempt_of:
+            return
+        self._mix.observe(job.shape.accelerators)
+        self._queue.add(Waiting(job, now, progress_s))
+
+    def adopt(self, job, attempt_id, places, now):
+        """Take in an attempt that already runs, as agents report it."""
+        waiting = self._queue.remove(job.id) or Waiting(job, now)
+        known = {n: c for n, c in places.items() if n in self._cluster.workers}
+        attempt = Attempt(attempt_id, waiting, known, job.shape, False)
+        attempt.movable = self._is_movable(job)
+        self._cover_in_place(attempt)
+        self._admit(attempt, now)
+        attempt.state = RUNNING
+        self._awaiting.pop(attempt_id, None)
+        attempt.started_at = now
+
+    def _cover_in_place(self, attempt):
+        """Claim slices of the account where an adopted attempt already runs."""
+        claimed = []
+        for name, count in attempt.places.items():
+            worker = self._cluster.workers[name]
+            for piece in self._ledger.of(attempt.job.account):
+                taken = min(count, attempt.shape.copies_in(piece.room))
+                if taken and self._ledger.move(piece, worker):
+                    claimed.append((piece, taken))
+                    count -= taken
+                if not count:
+                    break
+            if count:
+                return
+        for piece, taken in claimed:
+            self._ledger.claim(attempt.id, piece, attempt.shape.times(taken))
+        attempt.covered = True
+
+    def cancel(self, job_id):
+        """Cancel a job: O(1) if it waits, a stop of its attempt if it runs."""
+        if self._queue.remove(job_id) is not None:
+            self._forget_job(job_id)
+            self._actions.append(FinishJob(job_id, "cancelled", "cancelled"))
+            return True
+        attempt = self.attempt_of(job_id)
+        if attempt is None:
+            return False
+        if attempt.state == AWAITING_ROOM:
+            self._release(attempt)
+            self._forget_job(job_id)
+            self._actions.append(FinishJob(job_id, "cancelled", "cancelled"))
+        else:
+            self._actions.append(StopAttempt(attempt.id, False, 0.0, "cancelled"))
+            attempt.state = STOPPING
+        return True
+
+    def started(self, attempt_id, now):
+        """Take in that all members of an attempt run."""
+        attempt = self._attempts.get(attempt_id)
+        if attempt is not None:
+            attempt.started_at = now
+
+    def ended(self, attempt_id, now, state, progress_s=0.0, blame=()):
+        """Take in that an attempt is over on all its workers.
+
+        `state` is ``done``, ``failed``, ``stopped`` (it goes back to the queue
+        with its age and `progress_s` of kept work) or ``cancelled``. `blame`
+        names the workers whose members failed.
+        """
+        attempt = self._attempts.get(attempt_id)
+        if attempt is None:
+            return
+        workers = list(attempt.places)
+        self._release(attempt)
+        job = attempt.job
+        if state == "done":
+            self._succeeded(attempt, workers, now)
+        elif state == "cancelled":
+            self._finish(job.id, "cancelled", "cancelled")
+        elif state == "failed" and self._fail(job, blame or workers, now):
+            return
+        else:
+            self._queue.add(
+                Waiting(job, attempt.since, attempt.progress_s + progress_s)
+            )
+
+    def give_up(self, attempt_id, reason):
+        """End a job whose attempt may have run and must not run again."""
+        attempt = self._attempts.get(attempt_id)
+        if attempt is not None:
+            self._release(attempt)
+            self._finish(attempt.job.id, "failed", reason)
+
+    def _succeeded(self, attempt, workers, now):
+        if attempt.started_at is not None:
+            run_s = attempt.progress_s + now - attempt.started_at
+            self._estimator.observe_run(attempt.job, run_s)
+        for name in workers:
+            if self._health.succeeded(name):
+                self._set_usable(name, True)
+        self._finish(attempt.job.id, "done", "")
+
+    def _fail(self, job, workers, now):
+        """Count a failure; return whether the job is stopped for it."""
+        for name in workers:
+            if self._health.failed(name, job.id, now):
+                self._set_usable(name, False)
+        if not job.repeatable:
+            self._finish(job.id, "failed", "failed, and it is not repeatable")
+            return True
+        if self._health.job_is_bad(job.id):
+            failed_on = sorted(self._health.workers_failed_by(job.id))
+            self._finish(job.id, "failed", f"failed on workers {', '.join(failed_on)}")
+            return True
+        return False
+
+    def _finish(self, job_id, state, reason):
+        self._forget_job(job_id)
+        self._actions.append(FinishJob(job_id, state, reason))
+
+    def _forget_job(self, job_id):
+        self._health.forget_job(job_id)
+        self._drop_reservation(job_id)
+
+    # Decisions
+
+    def decide(self, now):
+        """Return the actions to take now."""
+        self._return_workers(now)
+        for name in self._health.due_probes(now):
+            self._health.begin_probe(name)
+            self._set_usable(name, True)
+        if self._blocked_version != self._cluster.version:
+            self._blocked.clear()
+            self._blocked_version = self._cluster.version
+        self._place_covered(now)
+        self._reserve_for_old(now)
+        self._place_borrowers(now)
+        self._start_ready(now)
+        actions, self._actions = self._actions, []
+        return actions
+
+    def next_wakeup(self, now):
+        """Return when `decide` has something to do without an event, or None."""
+        times = list(self._returning.values())
+        times += [held.due for held in self._reservations.values()]
+        times += [
+            state.until
+            for state in self._health.quarantines.values()
+            if not state.probing
+        ]
+        times += [
+            waiting.since + self._reserve_after_s
+            for waiting in self._queue.all()
+            if reservation.is_large(waiting.job)
+            and waiting.job.id not in self._reservations
+        ]
+        return min((max(now, when) for when in times), default=None)
+
+    def _return_workers(self, now):
+        for name, when in list(self._returning.items()):
+            if when <= now:
+                del self._returning[name]
+                self._set_usable(name, True)
+
+    def _set_usable(self, name, usable):
+        worker = self._cluster.workers.get(name)
+        if worker is None:
+            return
+        out = self._configuration.zone_is_out(worker.zone)
+        quarantined = name in self._health.quarantines
+        if quarantined and not self._health.is_probing(name):
+            usable = False
+        if usable == worker.usable or (usable and out):
+            return
+        self._cluster.set_usable(worker, usable)
+        if usable:
+            self._ledger.repair()
+        else:
+            self._uncover(self._ledger.worker_gone(worker))
+
+    def _place_covered(self, now):
+        """Place jobs within their guarantees, reclaiming what was lent."""
+        for line in self._queue.by_line():
+            blocked = 0
+            for waiting in line:
+                if not self._try_covered(waiting, now):
+                    blocked += 1
+                    if blocked >= _BLOCKED_PER_LINE:
+                        break
+
+    def _try_covered(self, waiting, now):
+        job = waiting.job
+        shape = job.shape
+        key = ("covered", _signature(job))
+        if key in self._blocked:
+            return False
+        parts = self._covering_parts(job, shape)
+        if parts is None:
+            self._blocked[key] = True
+            return False
+        places = {}
+        for part in parts:
+            name = part.worker.name
+            places[name] = places.get(name, 0) + part.members
+        attempt = self._new_attempt(waiting, places, shape, covered=True)
+        for part in parts:
+            self._ledger.claim(attempt.id, part.piece, shape.times(part.members))
+        self._admit(attempt, now)
+        return True
+
+    def _covering_parts(self, job, shape):
+        """Return parts whose slices all lie on the workers of the parts."""
+        if not coverage.within_guarantee(self._ledger, job, shape):
+            return None
+
+        def admit(worker):
+            return self._admits(worker, job, covered=True)
+
+        parts = coverage.plan(self._ledger, self._cluster, job, shape, admit)
+        if parts is None:
+            return None
+        if all(self._ledger.move(part.piece, part.worker) for part in parts):
+            return parts
+        parts = coverage.plan(
+            self._ledger, self._cluster, job, shape, admit, rehome=False
+        )
+        if parts is None or all(p.piece.worker is p.worker for p in parts):
+            return parts
+        return None
+
+    def _place_borrowers(self, now):
+        """Place movable work on free room, by share and age."""
+        blocked_of = {}
+        for waiting in self._queue.in_share_order(self._share):
+            job = waiting.job
+            if blocked_of.get(job.account, 0) >= _BLOCKED_PER_LINE:
+                continue
+            if not self._try_borrow(waiting, now):
+                blocked_of[job.account] = blocked_of.get(job.account, 0) + 1
+
+    def _try_borrow(self, waiting, now):
+        job = waiting.job
+        if not self._is_movable(job):
+            waiting.blocked_by = "its account's guarantee is in use"
+            return False
+        key = _signature(job)
+        held = self._reservations.get(job.id)
+        if held is None and key in self._blocked:
+            waiting.blocked_by = self._blocked[key]
+            return False
+        shape = self._estimator.shape(job)
+        run_s = self._estimator.run_time(job, CAUTIOUS) - waiting.progress_s
+
+        def admit(worker):
+            return self._admits(worker, job, False, now + run_s)
+
+        places = placement.find_places(self._cluster, job, shape, self._score, admit)
+        if places is None:
+            waiting.blocked_by = "no room is free that it may use"
+            self._blocked[key] = waiting.blocked_by
+            return False
+        self._admit(self._new_attempt(waiting, places, shape, covered=False), now)
+        return True
+
+    def _admits(self, worker, job, covered, ends_at=0.0):
+        """Return whether a job may be placed on a worker at all."""
+        account = self._configuration.accounts.get(job.account, {})
+        if not allows(account.get("selector", ""), worker):
+            return False
+        if self._health.is_probing(worker.name):
+            return job.repeatable and job.members == 1 and not worker.attempts
+        if covered or worker.held_for is None or worker.held_for == job.id:
+            return True
+        held = self._reservations.get(worker.held_for)
+        return held is None or ends_at <= held.due
+
+    def _reserve_for_old(self, now):
+        """Give reservations to large jobs that waited long; use those due."""
+        for job_id, held in list(self._reservations.items()):
+            if now >= held.due:
+                self._use_reservation(job_id, held, now)
+        if len(self._reservations) >= reservation.MAX_RESERVATIONS:
+            return
+        limit = now - self._reserve_after_s
+        old = [
+            waiting
+            for waiting in self._queue.all()
+            if waiting.since <= limit
+            and waiting.job.id not in self._reservations
+            and self._is_movable(waiting.job)
+        ]
+        for waiting in sorted(old, key=lambda w: w.since):
+            if len(self._reservations) >= reservation.MAX_RESERVATIONS:
+                return
+            self._reserve(waiting, now)
+
+    def _reserve(self, waiting, now):
+        job = waiting.job
+        shape = self._estimator.shape(job)
+        places = reservation.choose_workers(
+            self._cluster,
+            job,
+            shape,
+            self._attempts,
+            now,
+            lambda worker: self._admits(worker, job, False),
+        )
+        if places is None:
+            return
+        held = reservation.Reservation(job.id, places, now + reservation.DRAIN_S)
+        self._reservations[job.id] = held
+        for name in places:
+            self._cluster.workers[name].held_for = job.id
+
+    def _use_reservation(self, job_id, held, now):
+        """Start the job on its reserved workers, moving what is left there."""
+        waiting = self._queue.get(job_id)
+        self._drop_reservation(job_id)
+        if waiting is None:
+            return
+        shape = self._estimator.shape(waiting.job)
+        attempt = self._new_attempt(waiting, held.places, shape, covered=False)
+        attempt.protected_until = now + reservation.PROTECTED_S
+        self._admit(attempt, now)
+
+    def _drop_reservation(self, job_id):
+        held = self._reservations.pop(job_id, None)
+        if held is None:
+            return
+        for name in held.places:
+            worker = self._cluster.workers.get(name)
+            if worker is not None and worker.held_for == job_id:
+                worker.held_for = None
+        self._cluster.touch()
+
+    # Attempts
+
+    def _new_attempt(self, waiting, places, shape, covered):
+        self._queue.remove(waiting.job.id)
+        self._drop_reservation(waiting.job.id)
+        self._attempt_count += 1
+        attempt_id = f"{waiting.job.id}.{self._attempt_count}"
+        attempt = Attempt(attempt_id, waiting, dict(places), shape, covered)
+        attempt.movable = self._is_movable(waiting.job)
+        return attempt
+
+    def _admit(self, attempt, now):
+        """Count an attempt on its workers and move those in its way."""
+        self._attempts[attempt.id] = attempt
+        self._attempt_of[attempt.job.id] = attempt.id
+        self._awaiting[attempt.id] = attempt
+        for name, count in attempt.places.items():
+            worker = self._cluster.workers[name]
+            shape = attempt.shape.times(count)
+            self._cluster.occupy(worker, attempt.id, shape, attempt.covered)
+        account = attempt.job.account
+        self._usage[account] = self._usage.get(account, NOTHING).plus(attempt.job.total)
+        self._reclaim(attempt, now)
+
+    def _reclaim(self, attempt, now):
+        workers = [self._cluster.workers[name] for name in attempt.places]
+
+        def may_move(other):
+            if other.id == attempt.id or not other.movable:
+                return False
+            if attempt.covered:
+                return True
+            return other.protected_until <= now
+
+        victims = choose_victims(workers, self._attempts, may_move, now, self._short_of)
+        for victim in victims or ():
+            self._stop(victim, RECLAIM_GRACE_S, f"room for {attempt.job.id}")
+
+    def _short_of(self, worker):
+        """Return the room a worker lacks beyond what is being freed already."""
+        free = worker.free
+        for attempt_id, (shape, _covered) in worker.attempts.items():
+            if self._attempts[attempt_id].state == STOPPING:
+                free = free.plus(shape)
+        return type(free)(*[max(0, -amount) for amount in free])
+
+    def _stop(self, attempt_id, grace_s, reason):
+        attempt = self._attempts[attempt_id]
+        if attempt.state == STOPPING:
+            return
+        if attempt.state == AWAITING_ROOM:
+            self._release(attempt)
+            self._queue.add(Waiting(attempt.job, attempt.since, attempt.progress_s))
+            return
+        attempt.state = STOPPING
+        self._actions.append(StopAttempt(attempt_id, True, grace_s, reason))
+
+    def _start_ready(self, now):
+        """Start attempts whose workers all have the room now."""
+        for attempt in list(self._awaiting.values()):
+            if self._has_room(attempt):
+                del self._awaiting[attempt.id]
+                attempt.state = RUNNING
+                self._actions.append(
+                    StartAttempt(
+                        attempt.id, attempt.job, dict(attempt.places), attempt.covered
+                    )
+                )
+            elif attempt.id in self._awaiting:
+                self._reclaim(attempt, now)
+
+    def _has_room(self, attempt):
+        if sum(attempt.places.values()) < attempt.job.members:
+            self._stop(attempt.id, 0.0, "a worker was lost")
+            return False
+        return all(
+            min(self._cluster.workers[name].free) >= 0 for name in attempt.places
+        )
+
+    def _release(self, attempt):
+        for name in attempt.places:
+            worker = self._cluster.workers.get(name)
+            if worker is not None:
+                self._cluster.release(worker, attempt.id)
+        self._ledger.release(attempt.id)
+        self._awaiting.pop(attempt.id, None)
+        self._attempts.pop(attempt.id, None)
+        self._attempt_of.pop(attempt.job.id, None)
+        account = attempt.job.account
+        self._usage[account] = self._usage[account].minus(attempt.job.total)
+        self._cluster.touch()
+
+    def _share(self, account):
+        """Return an account's dominant share, divided by its weight."""
+        weight = self._configuration.accounts.get(account, {}).get("weight", 1.0)
+        used = self._usage.get(account, NOTHING)
+        return used.dominant_share(self._cluster.capacity) / weight
+
+    def _is_movable(self, job):
+        """Return whether operators and the job allow it to be moved aside."""
+        if not job.repeatable:
+            return False
+        account = self._configuration.accounts.get(job.account, {})
+        text = account.get("movable_selector", "")
+        if not text:
+            return job.movable
+        labels = {"class": job.klass, "kind": job.kind, **job.labels}
+        return selector.matches(selector.parse(text), labels)
+
+    def _ever_covers(self, job):
+        """Return whether the account's whole guarantee could hold the job."""
+        pieces = self._ledger.of(job.account)
+        room = sum(job.shape.copies_in(piece.line.shape) for piece in pieces)
+        return room >= job.members
+
+
+def _trial_ledger(infos, configuration, without_zone):
+    """Return a ledger of the configuration on empty workers, without one zone."""
+    cluster = Cluster()
+    for info in infos:
+        if info.zone != without_zone:
+            cluster.add(Worker(info, configuration.labels_of(info)))
+    ledger = Ledger(cluster)
+    ledger.configure(configuration.accounts)
+    return ledger
+
+
+def _signature(job):
+    """Return what makes jobs alike in where they fit."""
+    return (
+        job.account,
+        job.shape,
+        job.members,
+        job.adjacency,
+        job.selector,
+        job.klass,
+        job.kind,
+    )
--- /dev/null
+++ b/packages/standins/src/samphiredeal/standins/launch.py
@@ -0,0 +1,151 @@
+"""Starting a small cluster of separate processes for the demo and tests.
+
+Everything listens on loopback. Only processes started here are ended, by id.
+"""
+
+import json
+import os
+import signal
+import socket
+import subprocess
+import sys
+import time
+
+HOST = "127.0.0.1"
+STARTUP_S = 20.0
+_STOP_S = 15.0
+
+
+def free_port():
+    """Return a TCP port that is free now."""
+    with socket.socket() as probe:
+        probe.bind((HOST, 0))
+        return probe.getsockname()[1]
+
+
+def wait_for(condition, seconds, what):
+    """Poll until the condition gives something true; raise `TimeoutError`."""
+    give_up_at = time.monotonic() + seconds
+    while time.monotonic() < give_up_at:
+        result = condition()
+        if result:
+            return result
+        time.sleep(0.05)
+    raise TimeoutError(f"{what}: not within {seconds} s")
+
+
+class LocalCluster:
+    """Processes by name, with settings and logs in a scratch folder.
+
+    `program` and `standin_program` are the commands of the product and of the
+    stand-ins; by default the modules of this Python.
+    """
+
+    def __init__(self, folder, program=None):
+        self._folder = folder
+        self._program = program or [sys.executable, "-m", "samphiredeal.cli.main"]
+        self._processes = {}
+        self._entries = {}
+        self._ports = {}
+        self._settings = {}
+
+    @property
+    def entry_urls(self):
+        """The HTTP addresses of the entries by name."""
+        return self._entries
+
+    @property
+    def processes(self):
+        """The running processes by name."""
+        return self._processes
+
+    def url_of(self, name):
+        """Return the HTTP address of a stand-in or an entry."""
+        return f"http://{HOST}:{self._ports[name]}"
+
+    def standin(self, kind, name, **options):
+        """Start a stand-in and wait until it listens."""
+        port = free_port()
+        self._ports[name] = port
+        document = {"host": HOST, "port": port, "name": name, **options}
+        code = "import sys; from samphiredeal.standins.main import main; main()"
+        self._start(name, [sys.executable, "-c", code, kind], document)
+        wait_for(lambda: _listens(port), STARTUP_S, f"{name} listens")
+
+    def entry(self, name, zone, region="north"):
+        """Start an entry."""
+        port, http_port = free_port(), free_port()
+        self._ports[name] = http_port
+        self._entries[name] = f"http://{HOST}:{http_port}"
+        document = {
+            "name": name,
+            "zone": zone,
+            "region": region,
+            "host": HOST,
+            "port": port,
+            "http_port": http_port,
+            "platform_url": self.url_of("platform"),
+        }
+        self._settings[name] = document
+        self._start(name, [*self._program, "entry"], document)
+
+    def agent(self, name, kind, zone, upstream, **options):
+        """Start an agent beside an upstream."""
+        entries = [
+            f"{HOST}:{document['port']}"
+            for document in self._settings.values()
+            if "http_port" in document
+        ]
+        document = {
+            "name": name,
+            "kind": kind,
+            "zone": zone,
+            "entries": entries,
+            "upstream_url": self.url_of(upstream),
+            **options,
+        }
+        self._settings[name] = document
+        self._start(name, [*self._program, "agent"], document)
+
+    def restart(self, name):
+        """Start a process again with its old settings."""
+        role = "entry" if "http_port" in self._settings[name] else "agent"
+        self._start(name, [*self._program, role], self._settings[name])
+
+    def signal(self, name, number):
+        """Send a signal to a process that was started here."""
+        os.kill(self._processes[name].pid, number)
+
+    def wait(self, name, seconds=_STOP_S):
+        """Wait for a process to end; return its exit status."""
+        return self._processes[name].wait(seconds)
+
+    def log_of(self, name):
+        """Return what a process has written."""
+        with open(os.path.join(self._folder, f"{name}.log"), encoding="utf-8") as log:
+            return log.read()
+
+    def close(self):
+        """End every process."""
+        for process in self._processes.values():
+            if process.poll() is None:
+                process.send_signal(signal.SIGCONT)
+                process.kill()
+        for process in self._processes.values():
+            process.wait()
+
+    def _start(self, name, command, document):
+        path = os.path.join(self._folder, f"{name}.json")
+        with open(path, "w", encoding="utf-8") as file:
+            json.dump(document, file)
+        log_path = os.path.join(self._folder, f"{name}.log")
+        with open(log_path, "ab") as log:
+            self._processes[name] = subprocess.Popen(
+                [*command, path], stdout=log, stderr=subprocess.STDOUT
+            )
+
+
+def _listens(port):
+    with socket.socket() as probe:
+        probe.settimeout(0.5)
+        return probe.connect_ex((HOST, port)) == 0
--- /dev/null
+++ b/packages/standins/src/samphiredeal/standins/platform.py
@@ -0,0 +1,54 @@
+"""A stand-in for the platform's table service and object store.
+
+``POST /faults`` with ``{"down": bool, "delay_s": s, "lose_answers": n}`` makes
+it go down, slow down, or lose answers after their effect.
+"""
+
+import msgspec
+from twisted.internet import reactor
+from twisted.web.resource import Resource
+from twisted.web.server import Site
+
+from samphiredeal.platform.memory import Faults, MemoryObjects, MemoryTable
+from samphiredeal.platform.service import ObjectResource, TableResource
+from samphiredeal.standins import settings
+
+
+class FaultResource(Resource):
+    """Sets what goes wrong, and tells the counts of reads and writes."""
+
+    isLeaf = True
+
+    def __init__(self, faults):
+        super().__init__()
+        self._faults = faults
+
+    def render_GET(self, request):
+        """Answer with the counts of calls so far."""
+        counts = {"reads": self._faults.reads, "writes": self._faults.writes}
+        return msgspec.json.encode(counts)
+
+    def render_POST(self, request):
+        """Set faults."""
+        for name, value in msgspec.json.decode(request.content.read()).items():
+            setattr(self._faults, name, value)
+        return b"{}"
+
+
+def make_platform(clock):
+    """Return (root resource, faults) of a platform in memory."""
+    faults = Faults()
+    root = Resource()
+    root.putChild(b"table", TableResource(MemoryTable(clock, faults)))
+    root.putChild(b"objects", ObjectResource(MemoryObjects(faults)))
+    root.putChild(b"faults", FaultResource(faults))
+    return root, faults
+
+
+def run(path: str):
+    """Serve until the process is ended."""
+    document = settings.read(path, ["host", "port"])
+    root, _faults = make_platform(reactor)
+    site = Site(root)
+    reactor.listenTCP(document["port"], site, interface=document["host"])
+    reactor.run()
--- /dev/null
+++ b/packages/wire/src/samphiredeal/wire/__init__.py
@@ -0,0 +1,1 @@
+"""Messages between samphiredeal's processes, their encoding and framing."""
