--- a/packages/entry/src/samphiredeal/entry/api.py
+++ b/packages/entry/src/samphiredeal/entry/api.py
@@ -125,6 +125,9 @@
     key = http.header(request, "Samphiredeal-Key")
     if repeatable == "no":
         _check_key(key)
+    first_try = http.header(request, "Samphiredeal-First-Try", "no")
+    if first_try not in ("yes", "no"):
+        raise BadRequest(f"Samphiredeal-First-Try: {first_try!r} is not yes or no")
     deadline_ms = http.number_header(
         request, "Samphiredeal-Deadline-Ms", DEFAULT_DEADLINE_MS, 1, MAX_DEADLINE_MS
     )
@@ -135,6 +138,7 @@
         key,
         repeatable == "yes",
         request.content.read(),
+        first_try == "yes",
     )
 
 
--- a/packages/entry/src/samphiredeal/entry/requests.py
+++ b/packages/entry/src/samphiredeal/entry/requests.py
@@ -35,7 +35,11 @@
 
 
 class Request(NamedTuple):
-    """A caller's request; `deadline` is on this entry's clock."""
+    """A caller's request; `deadline` is on this entry's clock.
+
+    `first_try` is the caller's word that the key was never sent before. It
+    matters only while the table cannot tell what became of earlier tries.
+    """
 
     account: str
     klass: str
@@ -43,6 +47,7 @@
     key: str
     repeatable: bool
     body: bytes
+    first_try: bool = False
 
 
 class RequestServer:
@@ -98,6 +103,8 @@
         reason = verdict.NO_UPSTREAM
         skip = set()
         for _ in range(MAX_TRIES):
+            if skip and not self._router.has_other(skip):
+                break
             session = await self._slot(request, skip)
             if isinstance(session, Reason):
                 reason = session
@@ -161,10 +168,10 @@
 
     async def _serve_keyed(self, request):
         if self._environment.store_down():
-            return verdict.not_run(verdict.STORE_DOWN)
+            return _unknown_fate(request, verdict.STORE_DOWN)
         found = await self._claims.read(request.account, request.key)
         if isinstance(found, Unavailable):
-            return verdict.not_run(verdict.STORE_DOWN)
+            return _unknown_fate(request, verdict.STORE_DOWN)
         if found is not None:
             return await self._follow(request, found)
         return await self._claim_and_run(request)
@@ -177,9 +184,7 @@
         """
         session = await self._slot(request)
         if isinstance(session, Reason):
-            if refused is not None:
-                return await self._void(request, refused, session)
-            return verdict.not_run(session)
+            return await self._refuse(request, refused, session)
         claim = claim_rows.Claim(
             self._new_id(),
             session.info.name,
@@ -189,9 +194,7 @@
         )
         opened = await self._open(session, request, claim, refused)
         if isinstance(opened, Reason):
-            if refused is not None:
-                return await self._void(request, refused, opened)
-            return verdict.not_run(opened)
+            return await self._refuse(request, refused, opened)
         ours, held = opened
         if not ours:
             return await self._follow(request, held)
@@ -230,14 +233,27 @@
             return await self._claim_and_run(request, held, tries - 1)
         return await self._void(request, held, reason)
 
+    async def _refuse(self, request, refused, reason):
+        """Return the verdict of a try that got no slot or no claim.
+
+        Another try of the same key may have run meanwhile, through any entry,
+        so the claim row has the last word.
+        """
+        if refused is not None:
+            return await self._void(request, refused, reason)
+        found = await self._claims.read(request.account, request.key)
+        if isinstance(found, Unavailable):
+            return _unknown_fate(request, reason)
+        if found is None:
+            return verdict.not_run(reason)
+        return await self._follow(request, found)
+
     async def _void(self, request, held, reason):
         """Close a claim whose dispatch was refused for good."""
         outcome = verdict.not_run(reason)
         closed = await self._claims.close(held, claim_rows.VOID, outcome)
         if isinstance(closed, Unavailable):
-            if reason.code == verdict.SEALED.code:
-                return verdict.may_have_run(verdict.STORE_DOWN)
-            return outcome
+            return _unknown_fate(request, reason)
         ours, found = closed
         return outcome if ours else await self._follow(request, found)
 
@@ -332,6 +348,13 @@
     return waiting
 
 
+def _unknown_fate(request, reason):
+    """Return the verdict of a try that did not run, of a key that may have."""
+    if request.first_try:
+        return verdict.not_run(reason)
+    return verdict.may_have_run(reason)
+
+
 def _reason_of(refusal):
     return _REASONS.get(refusal.code, Reason(refusal.code, refusal.detail))
 
--- a/packages/entry/src/samphiredeal/entry/routing.py
+++ b/packages/entry/src/samphiredeal/entry/routing.py
@@ -77,6 +77,10 @@
         """Return how many slots the usable agents have together."""
         return sum(s.info.slots for s in self._usable())
 
+    def has_other(self, skip):
+        """Return whether a usable agent is left besides those to skip."""
+        return any(s.info.name not in skip for s in self._usable())
+
     def take(self, ticket):
         """Return a Deferred of a session with a free slot, or of a `Reason`."""
         session = None if self._waiting else self._free_session(ticket.skip)
--- a/packages/platform/src/samphiredeal/platform/memory.py
+++ b/packages/platform/src/samphiredeal/platform/memory.py
@@ -39,11 +39,18 @@
 class MemoryTable:
     """An in-memory table; `view` gives each caller faults of its own."""
 
-    def __init__(self, clock=None, faults=None, rows=None):
+    def __init__(self, clock=None, faults=None):
         self._clock = clock
         self.faults = faults or Faults()
-        self._rows = {} if rows is None else rows
-        self._keys = sorted(self._rows)
+        self._rows = {}
+        self._keys = []
+
+    def view(self, clock, faults):
+        """Return a table on the same rows whose answers come on `clock`."""
+        other = MemoryTable(clock, faults)
+        other._rows = self._rows
+        other._keys = self._keys
+        return other
 
     def read(self, key):
         """Return a Deferred of the row, version 0 if absent."""
@@ -105,7 +112,7 @@
         return self._deliver(compute())
 
     def _deliver(self, answer):
-        if self._clock is None or not self.faults.delay_s:
+        if self._clock is None:
             return succeed(answer)
         delivered = Deferred()
         self._clock.callLater(self.faults.delay_s, delivered.callback, answer)
--- a/packages/standins/src/samphiredeal/standins/worker.py
+++ b/packages/standins/src/samphiredeal/standins/worker.py
@@ -18,10 +18,11 @@
 class Task:
     """One task: the members of an attempt on this worker."""
 
-    def __init__(self, job, now, lease_s):
+    def __init__(self, job, count, now, lease_s):
         self.state = "running"
         self.detail = ""
         self.job = job
+        self.count = count
         self.started_at = now
         self.lease_s = lease_s
         self.renewed_at = now
@@ -46,10 +47,10 @@
         """Tasks by attempt id."""
         return self._tasks
 
-    def start(self, attempt_id, job, lease_s):
+    def start(self, attempt_id, job, count, lease_s):
         """Start a task unless it is known."""
         if attempt_id not in self._tasks:
-            self._tasks[attempt_id] = Task(job, self._clock.seconds(), lease_s)
+            self._tasks[attempt_id] = Task(job, count, self._clock.seconds(), lease_s)
 
     def renew(self, attempt_ids):
         """Renew leases."""
@@ -112,7 +113,7 @@
         """Start a task."""
         body = msgspec.json.decode(request.content.read())
         attempt_id = request.postpath[-1].decode()
-        self._runtime.start(attempt_id, body["job"], body["lease_s"])
+        self._runtime.start(attempt_id, body["job"], body["count"], body["lease_s"])
         return b"{}"
 
     def render_POST(self, request):
--- /dev/null
+++ b/tests/test_world.py
@@ -0,0 +1,32 @@
+"""Requests through entries and agents in memory, without faults.
+
+Proves: requests are answered, keyed ones once through several entries, and
+configuration reaches every entry and agent.
+"""
+
+from builders import make_world
+
+from samphiredeal.model import verdict
+
+
+def test_request_is_answered_whole():
+    world = make_world()
+    outcome = world.request("entry-0", b"hello")
+    assert outcome == verdict.Outcome(verdict.RAN, 200, b"answer to hello")
+
+
+def test_keyed_request_through_two_entries_runs_once():
+    world = make_world()
+    first = world.request("entry-0", b"deposit", key="k")
+    second = world.request("entry-1", b"deposit", key="k")
+    assert first == second
+    assert len(world.runs_of(b"deposit")) == 1
+
+
+def test_change_reaches_all():
+    world = make_world(workers=2)
+    answer = world.settle_change("entry-1", "zone", "a", {"state": "out"})
+    world.run(1.0)
+    for entry in world.entries():
+        assert entry.config.current.revision == answer.change.revision
+        assert entry.in_force(answer.change.revision) == []
