--- a/packages/agent/src/samphiredeal/agent/drivers.py
+++ b/packages/agent/src/samphiredeal/agent/drivers.py
@@ -14,7 +14,7 @@
 CONNECT_TIMEOUT_S = 1.0
 POLL_S = 0.5
 # The runtime stops a task whose lease is not renewed for this long.
-TASK_LEASE_S = 5.0
+TASK_LEASE_S = 4.0
 _CALL_TIMEOUT_S = 2.0
 
 
--- a/packages/agent/src/samphiredeal/agent/node.py
+++ b/packages/agent/src/samphiredeal/agent/node.py
@@ -41,7 +41,7 @@
 RECONNECT_S = 0.5
 # Members stop by themselves when no entry has answered for this long; an entry
 # counts the agent as lost only after a longer time.
-MEMBER_LEASE_S = 8.0
+MEMBER_LEASE_S = 5.0
 
 
 class AgentIdentity(NamedTuple):
--- a/packages/entry/src/samphiredeal/entry/confirmation.py
+++ b/packages/entry/src/samphiredeal/entry/confirmation.py
@@ -32,7 +32,7 @@
         self._store_at = float("-inf")
         self._words = {}
         self._heard_at = {}
-        self._members = set()
+        self._members = None
         self._writes = 0
 
     @property
@@ -68,7 +68,7 @@
     def set_members(self, names):
         """Set which other entries hold a lease in the table."""
         now = self._clock.seconds()
-        for name in set(names) - self._members:
+        for name in set(names) - (self._members or set()):
             self._heard_at.setdefault(name, now)
         self._members = set(names)
 
@@ -91,8 +91,12 @@
         return self._clock.seconds() - max(times)
 
     def _unanimous_at(self):
-        """Return when all entries last agreed that nothing newer is accepted."""
-        if not self.store_down:
+        """Return when all entries last agreed that nothing newer is accepted.
+
+        An entry that started while the table was silent does not know who all
+        entries are, so it relies on the word of one that does.
+        """
+        if self._members is None or not self.store_down:
             return float("-inf")
         now = self._clock.seconds()
         oldest = now
--- a/packages/entry/src/samphiredeal/entry/jobstore.py
+++ b/packages/entry/src/samphiredeal/entry/jobstore.py
@@ -55,8 +55,12 @@
 
 
 def job_from_dict(fields):
-    """Return a job from its fields, with the shape as a list."""
-    return Job(**{**fields, "shape": Shape(*fields["shape"])})
+    """Return a job from its fields, with the shape as a list.
+
+    Fields that are not the job's, such as an attempt's progress, are left out.
+    """
+    known = {name: fields[name] for name in Job._fields if name in fields}
+    return Job(**{**known, "shape": Shape(*fields["shape"])})
 
 
 class JobStore:
--- a/packages/entry/src/samphiredeal/entry/node.py
+++ b/packages/entry/src/samphiredeal/entry/node.py
@@ -351,6 +351,7 @@
             return
         if message.role == "entry":
             link.on_message = lambda link, m: self._on_peer(link, message.name, m)
+            self._peers.learn(message.name, message.document.decode())
         else:
             self._on_agent_hello(link, message)
 
--- a/packages/entry/src/samphiredeal/entry/peers.py
+++ b/packages/entry/src/samphiredeal/entry/peers.py
@@ -71,6 +71,10 @@
         """Set the addresses of the other entries by name."""
         self._wanted = addresses
 
+    def learn(self, name, address):
+        """Take in an entry that dialled this one, maybe before the table told."""
+        self._wanted = {**self._wanted, name: address}
+
     def tick(self):
         """Dial missing peers, drop silent links and send beats."""
         now = self._clock.seconds()
@@ -143,7 +147,12 @@
         link.on_lost = lambda _link: self._on_lost(name, peer)
         self._peers[name] = peer
         own = self._identity
-        link.send(Hello(PROTOCOL_VERSION, "entry", own.name, own.zone, own.incarnation))
+        address = own.address.encode()
+        link.send(
+            Hello(
+                PROTOCOL_VERSION, "entry", own.name, own.zone, own.incarnation, address
+            )
+        )
         self._beat(peer, self._clock.seconds())
 
     def _on_lost(self, name, peer):
--- a/packages/entry/src/samphiredeal/entry/scheduling.py
+++ b/packages/entry/src/samphiredeal/entry/scheduling.py
@@ -286,7 +286,8 @@
             return
         cancelled = job.id in self._held_back and self._held_back[job.id] is None
         self._held_back.pop(job.id, None)
-        self._scheduler.adopt(job, attempt_id, places, self._clock.seconds())
+        kept_s = held["job"].get("progress_s", 0.0)
+        self._scheduler.adopt(job, attempt_id, places, self._clock.seconds(), kept_s)
         self._driver.adopt(attempt_id, held["job"], places)
         if cancelled:
             self._scheduler.cancel(job.id)
--- a/packages/entry/src/samphiredeal/entry/sessions.py
+++ b/packages/entry/src/samphiredeal/entry/sessions.py
@@ -9,7 +9,7 @@
 # An agent silent for this long gets no dispatches.
 SUSPECT_S = 1.5
 # An agent silent for this long is lost; longer than its members' own lease.
-LOST_S = 10.0
+LOST_S = 7.0
 
 
 class AgentInfo(NamedTuple):
--- a/packages/policy/src/samphiredeal/policy/scheduler.py
+++ b/packages/policy/src/samphiredeal/policy/scheduler.py
@@ -267,9 +267,9 @@
         self._mix.observe(job.shape.accelerators)
         self._queue.add(Waiting(job, now, progress_s))
 
-    def adopt(self, job, attempt_id, places, now):
+    def adopt(self, job, attempt_id, places, now, progress_s=0.0):
         """Take in an attempt that already runs, as agents report it."""
-        waiting = self._queue.remove(job.id) or Waiting(job, now)
+        waiting = self._queue.remove(job.id) or Waiting(job, now, progress_s)
         known = {n: c for n, c in places.items() if n in self._cluster.workers}
         attempt = Attempt(attempt_id, waiting, known, job.shape, False)
         attempt.movable = self._is_movable(job)
--- a/tests/world.py
+++ b/tests/world.py
@@ -24,7 +24,7 @@
 STEP_S = 0.05
 LATENCY_S = 0.001
 SERVICE_S = 0.1
-TASK_LEASE_S = 5.0
+TASK_LEASE_S = 4.0
 POLL_S = 0.5
 
 
@@ -246,6 +246,7 @@
         self.nodes = {}
         self.runs = []
         self.answered = []
+        self.sent = []
         self.task_starts = []
         self.runtimes = {}
         self.service_s = SERVICE_S
