--- a/packages/policy/src/samphiredeal/policy/coverage.py
+++ b/packages/policy/src/samphiredeal/policy/coverage.py
@@ -58,7 +58,7 @@
     for key, parts in options.items():
         if sum(part.members for part in parts) >= job.members:
             chosen = _choose(parts, job.members, shape)
-            rank = (_displaced(chosen, shape), str(key))
+            rank = (displaced(chosen, shape), str(key))
             if best is None or rank < best[0]:
                 best = (rank, chosen)
     return best and best[1]
@@ -116,7 +116,7 @@
     return chosen
 
 
-def _displaced(parts, shape):
+def displaced(parts, shape):
     """Return the accelerators that must be reclaimed for the parts."""
     total = 0
     for part in parts:
--- a/packages/policy/src/samphiredeal/policy/reservation.py
+++ b/packages/policy/src/samphiredeal/policy/reservation.py
@@ -11,9 +11,9 @@
 from samphiredeal.policy.reclaim import lost_work
 
 # A job that no room was found for in this time gets a reservation.
-RESERVE_AFTER_S = 300.0
+RESERVE_AFTER_S = 900.0
 # How long small work may still finish on reserved workers before it is moved.
-DRAIN_S = 120.0
+DRAIN_S = 30.0
 # Work started through a reservation is not moved for another before this.
 PROTECTED_S = 1800.0
 # How many jobs may hold a reservation at a time.
--- a/packages/policy/src/samphiredeal/policy/scheduler.py
+++ b/packages/policy/src/samphiredeal/policy/scheduler.py
@@ -69,7 +69,7 @@
 
     def __init__(
         self,
-        make_score=lambda mix: scoring.sparing_guarantees(scoring.expected_loss(mix)),
+        make_score=lambda mix: scoring.best_fit,
         reserve_after_s=reservation.RESERVE_AFTER_S,
     ):
         self._cluster = Cluster()
@@ -413,10 +413,9 @@
         times += [
             waiting.since + self._reserve_after_s
             for waiting in self._queue.all()
-            if reservation.is_large(waiting.job)
-            and waiting.job.id not in self._reservations
+            if waiting.since + self._reserve_after_s > now
         ]
-        return min((max(now, when) for when in times), default=None)
+        return min(times, default=None)
 
     def _return_workers(self, now):
         for name, when in list(self._returning.items()):
@@ -460,6 +459,8 @@
         if parts is None:
             self._blocked[key] = True
             return False
+        if coverage.displaced(parts, shape) and self._try_borrow(waiting, now):
+            return True
         places = {}
         for part in parts:
             name = part.worker.name
@@ -481,7 +482,10 @@
         parts = coverage.plan(self._ledger, self._cluster, job, shape, admit)
         if parts is None:
             return None
-        if all(self._ledger.move(part.piece, part.worker) for part in parts):
+        for part in parts:
+            self._ledger.move(part.piece, part.worker)
+        # A later move may have swapped an earlier slice away again.
+        if all(part.piece.worker is part.worker for part in parts):
             return parts
         parts = coverage.plan(
             self._ledger, self._cluster, job, shape, admit, rehome=False
@@ -611,9 +615,8 @@
         self._attempts[attempt.id] = attempt
         self._attempt_of[attempt.job.id] = attempt.id
         self._awaiting[attempt.id] = attempt
-        for name, count in attempt.places.items():
+        for name, shape in self._shapes_of(attempt):
             worker = self._cluster.workers[name]
-            shape = attempt.shape.times(count)
             self._cluster.occupy(worker, attempt.id, shape, attempt.covered)
         account = attempt.job.account
         self._usage[account] = self._usage.get(account, NOTHING).plus(attempt.job.total)
@@ -623,7 +626,9 @@
         workers = [self._cluster.workers[name] for name in attempt.places]
 
         def may_move(other):
-            if other.id == attempt.id or not other.movable:
+            if other.id == attempt.id or other.state == STOPPING:
+                return False
+            if not other.movable:
                 return False
             if attempt.covered:
                 return True
@@ -653,9 +658,20 @@
         self._actions.append(StopAttempt(attempt_id, True, grace_s, reason))
 
     def _start_ready(self, now):
-        """Start attempts whose workers all have the room now."""
+        """Start attempts that have their room, in the order of admission.
+
+        An attempt does not wait for the room of those admitted after it.
+        """
+        later = self._awaited_room()
         for attempt in list(self._awaiting.values()):
-            if self._has_room(attempt):
+            for name, shape in self._shapes_of(attempt):
+                later[name] = later[name].minus(shape)
+            if attempt.id not in self._awaiting:
+                # Making room for another one has put it back into the queue.
+                continue
+            if sum(attempt.places.values()) < attempt.job.members:
+                self._stop(attempt.id, 0.0, "a worker was lost")
+            elif self._has_room(attempt, later):
                 del self._awaiting[attempt.id]
                 attempt.state = RUNNING
                 self._actions.append(
@@ -663,15 +679,27 @@
                         attempt.id, attempt.job, dict(attempt.places), attempt.covered
                     )
                 )
-            elif attempt.id in self._awaiting:
+            else:
                 self._reclaim(attempt, now)
 
-    def _has_room(self, attempt):
-        if sum(attempt.places.values()) < attempt.job.members:
-            self._stop(attempt.id, 0.0, "a worker was lost")
-            return False
+    def _awaited_room(self):
+        """Return the room that awaiting attempts take, by worker."""
+        rooms = {}
+        for attempt in self._awaiting.values():
+            for name, shape in self._shapes_of(attempt):
+                rooms[name] = rooms.get(name, NOTHING).plus(shape)
+        return rooms
+
+    def _shapes_of(self, attempt):
+        """Yield (worker name, shape) of an attempt's places."""
+        for name, count in attempt.places.items():
+            yield name, attempt.shape.times(count)
+
+    def _has_room(self, attempt, later):
+        """Return whether the places have room, but for later attempts."""
         return all(
-            min(self._cluster.workers[name].free) >= 0 for name in attempt.places
+            min(self._cluster.workers[name].free.plus(later[name])) >= 0
+            for name in attempt.places
         )
 
     def _release(self, attempt):
