--- a/packages/policy/src/samphiredeal/policy/ledger.py
+++ b/packages/policy/src/samphiredeal/policy/ledger.py
@@ -47,6 +47,7 @@
         self._slices = {}
         self._by_account = {}
         self._by_attempt = {}
+        self._repair_due = False
 
     @property
     def slices(self):
@@ -82,11 +83,16 @@
         self.repair()
         return uncovered
 
+    def room_appeared(self):
+        """Note that slices without a place may find one at the next repair."""
+        self._repair_due = True
+
     def worker_gone(self, worker):
-        """Find other places for the slices of a worker that left or is out.
+        """Take the slices off a worker that left or is out.
 
-        Claimed slices lose their claims' place too: the work there is over or
-        must move. Returns the ids of the attempts that claimed them.
+        The next repair finds other places for them. Claimed slices lose their
+        claims too: the work there is over or must move. Returns the ids of the
+        attempts that claimed them.
         """
         affected = set()
         for piece in list(worker.slices):
@@ -94,11 +100,17 @@
             for attempt_id in list(piece.claims):
                 self.release(attempt_id)
             self._place(piece, None)
-        self.repair()
+        self._repair_due = True
         return affected
 
+    def repair_if_due(self):
+        """Repair once for all workers that came or went since the last time."""
+        if self._repair_due:
+            self.repair()
+
     def repair(self):
         """Find places for slices that have none, largest and grouped first."""
+        self._repair_due = False
         missing = [piece for piece in self.unplaced() if not piece.claims]
         if missing:
             _pack(self, missing, self._usable())
@@ -183,8 +195,17 @@
     groups = {}
     for piece in pieces:
         groups.setdefault(piece.group or piece.key, []).append(piece)
+    fitting = {}
     for group in sorted(groups.values(), key=_group_weight):
-        _pack_group(ledger, group, workers)
+        line = group[0].line
+        key = (line.selector, line.shape)
+        if key not in fitting:
+            fitting[key] = [
+                worker
+                for worker in workers
+                if line.shape.fits(worker.unreserved) and allows(line.selector, worker)
+            ]
+        _pack_group(ledger, group, fitting[key])
 
 
 def _group_weight(group):
@@ -194,10 +215,9 @@
     return (alone, -size.accelerators, -size.memory_mb, -size.cpu_milli, first.key)
 
 
-def _pack_group(ledger, group, workers):
+def _pack_group(ledger, group, fitting):
     """Place slices that belong together in one rack or zone, or anywhere."""
     line = group[0].line
-    fitting = [worker for worker in workers if allows(line.selector, worker)]
     if group[0].group is None:
         for piece in group:
             _place_tightest(ledger, piece, fitting)
--- a/packages/policy/src/samphiredeal/policy/queue.py
+++ b/packages/policy/src/samphiredeal/policy/queue.py
@@ -6,15 +6,19 @@
 
 
 class Waiting:
-    """A job that waits: since when, and the work its checkpoints kept."""
+    """A job that waits: since when, and the work its checkpoints kept.
 
-    __slots__ = ("blocked_by", "job", "progress_s", "since")
+    Before `reserve_at` no workers are sought to reserve for it.
+    """
+
+    __slots__ = ("blocked_by", "job", "progress_s", "reserve_at", "since")
 
     def __init__(self, job, since, progress_s=0.0):
         self.job = job
         self.since = since
         self.progress_s = progress_s
         self.blocked_by = ""
+        self.reserve_at = 0.0
 
 
 class Queue:
--- a/packages/policy/src/samphiredeal/policy/reservation.py
+++ b/packages/policy/src/samphiredeal/policy/reservation.py
@@ -16,6 +16,8 @@
 DRAIN_S = 30.0
 # Work started through a reservation is not moved for another before this.
 PROTECTED_S = 1800.0
+# How long to wait before workers are sought again for a job that got none.
+RETRY_S = 60.0
 # How many jobs may hold a reservation at a time.
 MAX_RESERVATIONS = 2
 
@@ -37,7 +39,9 @@
     """
     groups = {}
     for worker in cluster.workers.values():
-        if worker.usable and worker.held_for is None and admit(worker):
+        if not worker.usable or worker.held_for is not None:
+            continue
+        if shape.fits(worker.lendable) and admit(worker):
             room = _room(worker, attempts, now)
             copies = shape.copies_in(room)
             if copies and allows(job.selector, worker):
--- a/packages/policy/src/samphiredeal/policy/scheduler.py
+++ b/packages/policy/src/samphiredeal/policy/scheduler.py
@@ -147,7 +147,7 @@
         worker = Worker(info, self._configuration.labels_of(info))
         worker.usable = not self._configuration.zone_is_out(info.zone)
         self._cluster.add(worker)
-        self._ledger.repair()
+        self._ledger.room_appeared()
 
     def worker_lost(self, name):
         """Remove a worker; the host ends the attempts that ran there."""
@@ -391,6 +391,7 @@
         for name in self._health.due_probes(now):
             self._health.begin_probe(name)
             self._set_usable(name, True)
+        self._ledger.repair_if_due()
         if self._blocked_version != self._cluster.version:
             self._blocked.clear()
             self._blocked_version = self._cluster.version
@@ -411,9 +412,9 @@
             if not state.probing
         ]
         times += [
-            waiting.since + self._reserve_after_s
+            max(waiting.since + self._reserve_after_s, waiting.reserve_at)
             for waiting in self._queue.all()
-            if waiting.since + self._reserve_after_s > now
+            if max(waiting.since + self._reserve_after_s, waiting.reserve_at) > now
         ]
         return min(times, default=None)
 
@@ -435,7 +436,7 @@
             return
         self._cluster.set_usable(worker, usable)
         if usable:
-            self._ledger.repair()
+            self._ledger.room_appeared()
         else:
             self._uncover(self._ledger.worker_gone(worker))
 
@@ -552,13 +553,13 @@
             waiting
             for waiting in self._queue.all()
             if waiting.since <= limit
+            and waiting.reserve_at <= now
             and waiting.job.id not in self._reservations
             and self._is_movable(waiting.job)
         ]
-        for waiting in sorted(old, key=lambda w: w.since):
-            if len(self._reservations) >= reservation.MAX_RESERVATIONS:
-                return
-            self._reserve(waiting, now)
+        if old:
+            # One search at a time bounds the length of a decision.
+            self._reserve(min(old, key=lambda w: w.since), now)
 
     def _reserve(self, waiting, now):
         job = waiting.job
@@ -572,6 +573,7 @@
             lambda worker: self._admits(worker, job, False),
         )
         if places is None:
+            waiting.reserve_at = now + reservation.RETRY_S
             return
         held = reservation.Reservation(job.id, places, now + reservation.DRAIN_S)
         self._reservations[job.id] = held
--- a/packages/policy/tests/test_scheduler.py
+++ b/packages/policy/tests/test_scheduler.py
@@ -277,6 +277,7 @@
 
     monkeypatch.setattr(Ledger, "repair", place_anywhere)
     host = Host(1, {"x": (8, 2), "y": (8, 2)})
+    host.scheduler.ledger.repair()
     with pytest.raises(AssertionError, match="does not fit"):
         host.check()
 
