--- a/Makefile
+++ b/Makefile
@@ -28,3 +28,11 @@
 
 slopes: $(READY)
 	$(PYTHON) -m bench.slopes
+
+binary: $(READY)
+	rm -rf build/wheels && mkdir -p build/wheels dist
+	$(PYTHON) -m pip wheel -q --no-build-isolation --no-deps -w build/wheels \
+		$(foreach package,$(filter-out standins,$(PACKAGES)),./packages/$(package))
+	$(VENV)/bin/pex -r requirements.txt build/wheels/*.whl \
+		-c samphiredeal -o dist/samphiredeal
+	cd / && $(CURDIR)/dist/samphiredeal --version
--- a/packages/standins/src/samphiredeal/standins/launch.py
+++ b/packages/standins/src/samphiredeal/standins/launch.py
@@ -90,7 +90,7 @@
         self._start(name, [*self._program, "entry"], document)
 
     def agent(self, name, kind, zone, upstream, **options):
-        """Start an agent beside an upstream."""
+        """Start an agent beside an upstream, as process ``agent:NAME``."""
         entries = [
             f"{HOST}:{document['port']}"
             for document in self._settings.values()
@@ -105,12 +105,15 @@
             **options,
         }
         self._settings[name] = document
-        self._start(name, [*self._program, "agent"], document)
+        self._start(f"agent:{name}", [*self._program, "agent"], document)
+
+    def link_port(self, entry):
+        """Return the port on which an entry takes links."""
+        return self._settings[entry]["port"]
 
     def restart(self, name):
-        """Start a process again with its old settings."""
-        role = "entry" if "http_port" in self._settings[name] else "agent"
-        self._start(name, [*self._program, role], self._settings[name])
+        """Start an entry again with its old settings."""
+        self._start(name, [*self._program, "entry"], self._settings[name])
 
     def signal(self, name, number):
         """Send a signal to a process that was started here."""
@@ -122,9 +125,12 @@
 
     def log_of(self, name):
         """Return what a process has written."""
-        with open(os.path.join(self._folder, f"{name}.log"), encoding="utf-8") as log:
+        with open(self._log_path(name), encoding="utf-8") as log:
             return log.read()
 
+    def _log_path(self, name):
+        return os.path.join(self._folder, f"{name.replace(':', '-')}.log")
+
     def close(self):
         """End every process."""
         for process in self._processes.values():
@@ -135,10 +141,10 @@
             process.wait()
 
     def _start(self, name, command, document):
-        path = os.path.join(self._folder, f"{name}.json")
+        path = os.path.join(self._folder, f"{name.replace(':', '-')}.json")
         with open(path, "w", encoding="utf-8") as file:
             json.dump(document, file)
-        log_path = os.path.join(self._folder, f"{name}.log")
+        log_path = self._log_path(name)
         with open(log_path, "ab") as log:
             self._processes[name] = subprocess.Popen(
                 [*command, path], stdout=log, stderr=subprocess.STDOUT
