--- a/packages/cli/src/samphiredeal/cli/porcelain.py
+++ b/packages/cli/src/samphiredeal/cli/porcelain.py
@@ -237,6 +237,22 @@
     return _Output(json).show(reply, _pretty)
 
 
+def show_report(*, page: str = "", url: str = "", json: bool = False):
+    """Report service-level burn over 5 min, 1 h and 6 h, jobs and zone episodes.
+
+    :param page: also write an HTML page with plots to this file
+    :param url: an entry's HTTP address
+    :param json: print JSON
+    """
+    from samphiredeal.cli import report
+
+    reply = client.call(_url(url), "GET", "/v1/report")
+    if page and reply.accepted:
+        with open(page, "w", encoding="utf-8") as file:
+            file.write(report.as_page(reply.document))
+    return _Output(json).show(reply, report.as_text)
+
+
 def check(path: str, *, json: bool = False):
     """Check a settings file and print the effective settings.
 
@@ -278,6 +294,7 @@
         "cancel": cancel_job,
     },
     "config": {"show": show_config},
+    "report": show_report,
     "check": check,
 }
 
--- a/packages/cli/src/samphiredeal/cli/roles.py
+++ b/packages/cli/src/samphiredeal/cli/roles.py
@@ -41,6 +41,7 @@
         HttpObjects(platform),
         lambda address: link.connect(reactor, address),
         lambda sessions: choose.choices(sessions, k=2),
+        reactor.seconds,
     )
     metrics = Metrics("entry", identity.name)
     site = make_site(make_api(node, metrics, clock))
--- /dev/null
+++ b/packages/cli/tests/test_settings.py
@@ -0,0 +1,75 @@
+"""Settings: every fault names file, path and value.
+
+Proves: comments are read, defaults filled in, and unknown keys, wrong types and
+values out of range refused.
+"""
+
+import json
+
+import pytest
+
+from samphiredeal.cli.settings import (
+    AgentSettings,
+    EntrySettings,
+    SettingsError,
+    load,
+)
+
+AGENT = {
+    "name": "w1",
+    "kind": "worker",
+    "zone": "a",
+    "entries": ["127.0.0.1:7000"],
+    "upstream_url": "http://127.0.0.1:9000",
+}
+
+
+def write(tmp_path, document):
+    path = tmp_path / "settings.json"
+    path.write_text(document if isinstance(document, str) else json.dumps(document))
+    return path
+
+
+def test_comments_and_defaults(tmp_path):
+    text = json.dumps(AGENT)[:-1] + ', // its rack\n "rack": "r1", /* last */}'
+    settings = load(write(tmp_path, text), AgentSettings)
+    assert settings["rack"] == "r1"
+    assert settings["slots"] == 8
+
+
+FAULTS = [
+    ({"slotz": 3}, "slotz: unknown key"),
+    ({"capacity": {"cpu_milli": 1, "memory_mb": 1, "gpus": 1}}, "capacity.gpus"),
+    ({"slots": 0}, "slots: 0"),
+    ({"kind": "robot"}, "'robot'"),
+    ({"entries": []}, "entries: []"),
+    ({"zone": 7}, "zone"),
+]
+
+
+@pytest.mark.parametrize(("change", "text"), FAULTS)
+def test_faults_are_named(tmp_path, change, text):
+    path = write(tmp_path, {**AGENT, **change})
+    with pytest.raises(SettingsError) as error:
+        load(path, AgentSettings)
+    assert text in str(error.value)
+    assert str(path) in str(error.value)
+
+
+def test_port_out_of_range(tmp_path):
+    document = {
+        "name": "e",
+        "zone": "a",
+        "region": "r",
+        "host": "127.0.0.1",
+        "port": 70000,
+        "http_port": 80,
+        "platform_url": "http://127.0.0.1:1",
+    }
+    with pytest.raises(SettingsError, match="port: 70000"):
+        load(write(tmp_path, document), EntrySettings)
+
+
+def test_missing_file_is_a_fault(tmp_path):
+    with pytest.raises(SettingsError, match="cannot be read"):
+        load(tmp_path / "none.json", EntrySettings)
--- a/packages/entry/src/samphiredeal/entry/api.py
+++ b/packages/entry/src/samphiredeal/entry/api.py
@@ -54,6 +54,7 @@
                 DELETE=_bound(_delete_document, node, kind),
             ),
         )
+    v1.putChild(b"report", Endpoint(GET=_bound(_report, node)))
     v1.putChild(b"config", Endpoint(GET=_bound(_get_config, node)))
     return root
 
@@ -87,6 +88,10 @@
     return 200, metrics.render()
 
 
+async def _report(node, request):
+    return 200, await node.report()
+
+
 # Requests
 
 
@@ -106,9 +111,12 @@
             outcome = await node.requests.serve(asked)
         reason = outcome.reason.code if outcome.reason else ""
         action.add_success_fields(verdict=outcome.verdict, reason=reason)
-    metrics.request_ended(
-        asked.account, asked.klass, outcome, clock.seconds() - started_at
+    seconds = clock.seconds() - started_at
+    metrics.request_ended(asked.account, asked.klass, outcome, seconds)
+    objective_s = node.config.current.accounts.get(asked.account, {}).get(
+        "objective_s", float("inf")
     )
+    node.counts.request(asked.account, asked.klass, outcome, seconds, objective_s)
     return _answer_outcome(request, outcome)
 
 
--- a/packages/entry/src/samphiredeal/entry/node.py
+++ b/packages/entry/src/samphiredeal/entry/node.py
@@ -11,6 +11,7 @@
 from twisted.internet.task import LoopingCall, deferLater
 
 from samphiredeal.entry import sessions as agent_sessions
+from samphiredeal.entry.burn import SAVE_EVERY_S, Counts, ReportStore, make_report
 from samphiredeal.entry.claims import Claims
 from samphiredeal.entry.configstore import Accepted, ConfigStore
 from samphiredeal.entry.confirmation import Confirmation
@@ -84,9 +85,10 @@
     """One entry. `connect(address)` returns a Deferred of a link.
 
     `pick(sessions)` chooses two agents at random; tests make it predictable.
+    `wall()` gives seconds that all VMs share, for reports only.
     """
 
-    def __init__(self, clock, identity, table, objects, connect, pick):
+    def __init__(self, clock, identity, table, objects, connect, pick, wall=None):
         self._clock = clock
         self._identity = identity
         self._table = table
@@ -119,6 +121,9 @@
             ),
             self.new_id,
         )
+        self._counts = Counts(wall or clock.seconds)
+        self._reports = ReportStore(table, objects, identity.incarnation)
+        self._zones_out = set()
         self._host = None
         self._homes = {}
         self._missing = {}
@@ -170,6 +175,11 @@
         """The other entries."""
         return self._peers
 
+    @property
+    def counts(self):
+        """The counts for the report on service-level burn."""
+        return self._counts
+
     @property
     def host(self):
         """The scheduler's host if this entry holds the lease, or None."""
@@ -216,6 +226,7 @@
         self._loop(STORE_POLL_S, lambda: self._spawn("config", self._poll_config))
         self._loop(1.0, lambda: self._spawn("members", self._renew))
         self._loop(1.0, lambda: self._spawn("lease", self._renew_lease))
+        self._loop(SAVE_EVERY_S, lambda: self._spawn("report", self._save_counts))
         self._loop(JOB_SWEEP_S, lambda: self._spawn("sweep", self._sweep_jobs))
 
     async def drain(self, grace_s):
@@ -225,6 +236,7 @@
         await self._hand_over()
         while self._requests.in_flight and self._clock.seconds() < give_up_at:
             await deferLater(self._clock, TICK_S)
+        await self._reports.save(self._counts)
         await self._membership.leave()
         self.stop()
 
@@ -307,10 +319,25 @@
         self._homes = {}
         self._missing = {}
         self._host = SchedulerHost(
-            self._clock, self._jobs, self._send_to_worker, self._stamp
+            self._clock,
+            self._jobs,
+            self._send_to_worker,
+            self._stamp,
+            on_done=self._counts.job,
         )
         self._host.begin(self._config.current)
 
+    async def _save_counts(self):
+        if self._host is not None:
+            self._counts.fragmentation(self._host.scheduler.fragmentation())
+        await self._reports.save(self._counts)
+
+    async def report(self):
+        """Return the report on service-level burn as a JSON-ready object."""
+        return await make_report(
+            self._counts, self._reports, self._config.current.accounts
+        )
+
     async def _sweep_jobs(self):
         """Take in job rows that this holder was not told of."""
         host = self._host
@@ -518,6 +545,7 @@
 
     def _on_changes(self, changes):
         """Pass accepted changes on to agents, peers and the scheduler."""
+        self._note_episodes()
         for session in self._sessions:
             self._send_slice(session)
         if changes:
@@ -525,6 +553,14 @@
         if self._host is not None:
             self._host.configure(self._config.current)
 
+    def _note_episodes(self):
+        """Note zones that went out or came back, for the report."""
+        current = self._config.current
+        out = {zone for zone in current.zones if current.zone_is_out(zone)}
+        for zone in sorted(out ^ self._zones_out):
+            self._counts.zone(zone, zone in out)
+        self._zones_out = out
+
     # The scheduler's side
 
     def _tell_holder(self):
--- a/packages/entry/src/samphiredeal/entry/scheduling.py
+++ b/packages/entry/src/samphiredeal/entry/scheduling.py
@@ -35,13 +35,15 @@
 
     `send(worker, message)` sends to an agent by way of its home entry;
     `stamp()` returns (epoch, revision, confirmation age in ms).
+    `on_done(klass, completion_s)` is told of each job that is done.
     """
 
-    def __init__(self, clock, jobs, send, stamp, make_scheduler=Scheduler):
+    def __init__(self, clock, jobs, send, stamp, on_done=lambda *_: None):
         self._clock = clock
         self._jobs = jobs
         self._epoch = stamp()[0]
-        self._scheduler = make_scheduler()
+        self._scheduler = Scheduler()
+        self._on_done = on_done
         self._driver = GangDriver(clock, send, self._on_gang_event, stamp)
         self._send = send
         self._began_at = clock.seconds()
@@ -331,6 +333,8 @@
         if attempt is None:
             return
         job = attempt.job
+        if event.state == "done":
+            self._on_done(job.klass, now - attempt.since)
         if event.ran and not job.repeatable and event.state == "stopped":
             reason = f"attempt {event.attempt_id} may have run"
             self._scheduler.give_up(event.attempt_id, reason)
--- /dev/null
+++ b/packages/entry/tests/test_burn.py
@@ -0,0 +1,89 @@
+"""Service-level burn over windows, merged over entries.
+
+Proves: rates follow the objective, verdicts are told apart, counts outlive the
+entry that made them, and a report without the store says that it is partial.
+"""
+
+from reactor_thread import call_in_reactor
+
+from samphiredeal.entry.burn import Counts, ReportStore, burns, make_report, merge
+from samphiredeal.model import verdict
+from samphiredeal.platform.memory import Faults, MemoryObjects, MemoryTable
+
+RAN = verdict.Outcome(verdict.RAN)
+REFUSED = verdict.not_run(verdict.DEADLINE)
+
+
+class Wall:
+    """A wall clock that tests set."""
+
+    def __init__(self):
+        self.now = 60_000.0
+
+    def __call__(self):
+        return self.now
+
+
+def make_counts(wall, ran=0, refused=0, seconds=0.1):
+    """Return counts with requests of one account."""
+    counts = Counts(wall)
+    for _ in range(ran):
+        counts.request("hall", "urgent", RAN, seconds, 1.0)
+    for _ in range(refused):
+        counts.request("hall", "urgent", REFUSED, seconds, 1.0)
+    return counts
+
+
+def rates(document, minute, share=0.9):
+    """Return burn rates by window."""
+    minutes, _episodes = merge([document], minute)
+    accounts = {"hall": {"objective_share": share}}
+    return {burn.window: burn.rate for burn in burns(minutes, minute, accounts)}
+
+
+def test_rate_is_bad_share_over_allowed_share():
+    wall = Wall()
+    counts = make_counts(wall, ran=80, refused=20)
+    assert rates(counts.document, counts.minute()) == {"5m": 2.0, "1h": 2.0, "6h": 2.0}
+
+
+def test_late_answers_are_bad():
+    counts = make_counts(Wall(), ran=10, seconds=2.0)
+    assert rates(counts.document, counts.minute())["5m"] == 10.0
+
+
+def test_windows_forget_at_their_own_length():
+    wall = Wall()
+    counts = make_counts(wall, ran=9, refused=1)
+    wall.now += 30 * 60
+    counts.request("hall", "urgent", RAN, 0.1, 1.0)
+    told = rates(counts.document, counts.minute())
+    assert told["5m"] == 0.0
+    assert told["1h"] == round(1 / 11 / 0.1, 3)
+
+
+def test_counts_outlive_their_entry():
+    wall, table, faults = Wall(), MemoryTable(), Faults()
+    objects = MemoryObjects(faults)
+    gone = make_counts(wall, ran=5)
+    call_in_reactor(lambda: ReportStore(table, objects, "gone").save(gone))
+    counts = make_counts(wall, ran=1)
+    store = ReportStore(table, objects, "here")
+    report = call_in_reactor(lambda: make_report(counts, store, {}))
+    assert report["complete"]
+    assert report["burn"][0]["total"] == 6
+    table.faults.down = True
+    report = call_in_reactor(lambda: make_report(counts, store, {}))
+    assert not report["complete"]
+    assert report["burn"][0]["total"] == 1
+
+
+def test_old_rows_are_deleted():
+    wall, table, objects = Wall(), MemoryTable(), MemoryObjects()
+    call_in_reactor(
+        lambda: ReportStore(table, objects, "old").save(make_counts(wall, ran=1))
+    )
+    wall.now += 7 * 3600
+    store = ReportStore(table, objects, "new")
+    call_in_reactor(lambda: make_report(make_counts(wall), store, {}))
+    assert call_in_reactor(table.read, "report/old").version == 0
--- a/packages/policy/src/samphiredeal/policy/scheduler.py
+++ b/packages/policy/src/samphiredeal/policy/scheduler.py
@@ -132,6 +132,19 @@
         """Return the attempt of a job, or None."""
         return self._attempts.get(self._attempt_of.get(job_id))
 
+    def fragmentation(self):
+        """Return the share of free accelerators that the largest waiting job can't use.
+
+        0 if nothing waits or nothing is free.
+        """
+        waiting = (w.job.shape.accelerators for w in self._queue.all())
+        largest = max(waiting, default=0)
+        classes = [(n, c) for n, c in self._cluster.free_classes.items() if n > 0]
+        free = sum(number * count for number, count in classes)
+        if not largest or not free:
+            return 0.0
+        return sum((number % largest) * count for number, count in classes) / free
+
     # Workers and configuration
 
     def worker_up(self, info, now):
