--- a/packages/agent/src/samphiredeal/agent/node.py
+++ b/packages/agent/src/samphiredeal/agent/node.py
@@ -19,6 +19,7 @@
 from samphiredeal.wire.messages import (
     EXECUTOR,
     PROTOCOL_VERSION,
+    WORKER,
     AnswerAck,
     ConfigSlice,
     Dispatch,
@@ -35,9 +36,12 @@
     Stop,
 )
 
-HEARTBEAT_S = 0.5
+TICK_S = 0.5
+# An executor's heartbeats carry permits and free slots; a worker's only renew
+# leases, since its permits come with each reservation.
+HEARTBEAT_S = {EXECUTOR: 0.5, WORKER: 1.5}
 # A link without a reply for this long is replaced by a new one.
-LINK_SILENCE_S = 2.0
+LINK_SILENCE_S = {EXECUTOR: 2.0, WORKER: 3.5}
 RECONNECT_S = 0.5
 # Members stop by themselves when no entry has answered for this long; an entry
 # counts the agent as lost only after a longer time.
@@ -108,6 +112,7 @@
         self._leaving = False
         self._stopped = False
         self._contact_at = clock.seconds()
+        self._heartbeat_at = 0.0
         self._requests = None
         self._members = None
         self._beat = LoopingCall(self._tick)
@@ -148,7 +153,7 @@
 
     def start(self):
         """Begin to dial entries and send heartbeats."""
-        self._beat.start(HEARTBEAT_S, now=True)
+        self._beat.start(TICK_S, now=True)
 
     def notify(self, message):
         """Send a message to the scheduler by way of the home entry."""
@@ -165,8 +170,8 @@
         self._send_heartbeats()
         give_up_at = self._clock.seconds() + grace_s
         while not self._idle() and self._clock.seconds() < give_up_at:
-            await deferLater(self._clock, HEARTBEAT_S)
-        await deferLater(self._clock, HEARTBEAT_S)
+            await deferLater(self._clock, TICK_S)
+        await deferLater(self._clock, TICK_S)
         self.stop()
 
     def stop(self):
@@ -185,7 +190,8 @@
     def _tick(self):
         self._drop_silent_links()
         self._dial_missing()
-        self._send_heartbeats()
+        if self._clock.seconds() >= self._heartbeat_at:
+            self._send_heartbeats()
         if self._requests is not None:
             self._requests.expire()
         if self._members is not None:
@@ -194,7 +200,7 @@
                 self._members.stop_all()
 
     def _drop_silent_links(self):
-        limit = self._clock.seconds() - LINK_SILENCE_S
+        limit = self._clock.seconds() - LINK_SILENCE_S[self._identity.kind]
         for uplink in list(self._uplinks.values()):
             if uplink.replied_at < limit:
                 self._drop(uplink)
@@ -257,6 +263,9 @@
         )
 
     def _send_heartbeats(self):
+        interval_s = HEARTBEAT_S[self._identity.kind]
+        # Half a tick early, so that rounding does not skip one.
+        self._heartbeat_at = self._clock.seconds() + interval_s - TICK_S / 2
         for uplink in self._uplinks.values():
             self._send_heartbeat(uplink.link)
 
@@ -345,8 +354,13 @@
             self._entries = {entry.name: entry for entry in known}
 
     def _on_config(self, message):
-        if message.revision >= self._slice.revision:
-            self._slice = message
+        """Take in a newer configuration and confirm it at once."""
+        if message.revision < self._slice.revision:
+            return
+        is_newer = message.revision > self._slice.revision
+        self._slice = message
+        if is_newer:
+            self._send_heartbeats()
 
     def _on_member_message(self, relay):
         message = codec.decode(relay.payload)
--- a/packages/entry/src/samphiredeal/entry/node.py
+++ b/packages/entry/src/samphiredeal/entry/node.py
@@ -564,13 +564,19 @@
     # The scheduler's side
 
     def _tell_holder(self):
-        """Tell a new holder of the workers whose home this entry is."""
+        """Tell a new holder of the workers whose home this entry is.
+
+        The workers' agents are told of its epoch at once, so that they report.
+        """
         marker = f"{self.holder}/{self.epoch}"
-        if marker != self._told_holder and self.holder:
-            self._told_holder = marker
-            for session in self._sessions:
-                if not session.is_executor:
-                    self._report_up(session)
+        if marker == self._told_holder or not self.holder:
+            return
+        self._told_holder = marker
+        revision = self._config.current.revision
+        for session in self._sessions:
+            if not session.is_executor:
+                self._report_up(session)
+                session.link.send(HeartbeatReply(0, revision, self.epoch, b"", 0))
 
     def _report_up(self, session):
         document = msgspec.json.encode(session.info._asdict())
