--- a/packages/policy/src/samphiredeal/policy/ledger.py
+++ b/packages/policy/src/samphiredeal/policy/ledger.py
@@ -8,6 +8,8 @@
 was lent there. A slice without claims may change its place at any time.
 """
 
+import heapq
+
 from samphiredeal.model import configuration as config
 from samphiredeal.model.shape import NOTHING
 from samphiredeal.policy.cluster import allows
@@ -195,17 +197,57 @@
     groups = {}
     for piece in pieces:
         groups.setdefault(piece.group or piece.key, []).append(piece)
-    fitting = {}
+    rooms = {}
     for group in sorted(groups.values(), key=_group_weight):
         line = group[0].line
         key = (line.selector, line.shape)
-        if key not in fitting:
-            fitting[key] = [
-                worker
-                for worker in workers
-                if line.shape.fits(worker.unreserved) and allows(line.selector, worker)
-            ]
-        _pack_group(ledger, group, fitting[key])
+        if key not in rooms:
+            allowed = [w for w in workers if allows(line.selector, w)]
+            rooms[key] = _Rooms(line.shape, allowed)
+        if group[0].group is None:
+            for piece in group:
+                _place_tightest(ledger, piece, rooms[key])
+        else:
+            _pack_group(ledger, group, rooms[key].workers)
+
+
+class _Rooms:
+    """Workers with room for a shape, tightest first.
+
+    Room only shrinks while slices are packed, so an entry whose rank has changed
+    is put back under its new one when it is met.
+    """
+
+    def __init__(self, shape, workers):
+        self._shape = shape
+        self._heap = []
+        for worker in workers:
+            self.put(worker)
+        heapq.heapify(self._heap)
+
+    @property
+    def workers(self):
+        """The workers, in no order."""
+        return [worker for _rank, worker in self._heap]
+
+    def put(self, worker):
+        """Add a worker if the shape fits into its room."""
+        if self._shape.fits(worker.unreserved):
+            heapq.heappush(self._heap, (_room_rank(worker), worker))
+
+    def take(self):
+        """Remove and return the worker with the tightest room, or None."""
+        while self._heap:
+            rank, worker = heapq.heappop(self._heap)
+            if rank == _room_rank(worker):
+                return worker
+            self.put(worker)
+        return None
+
+
+def _room_rank(worker):
+    room = worker.unreserved
+    return (room.accelerators, room.cpu_milli, worker.name)
 
 
 def _group_weight(group):
@@ -216,12 +258,8 @@
 
 
 def _pack_group(ledger, group, fitting):
-    """Place slices that belong together in one rack or zone, or anywhere."""
+    """Place slices that belong together within one rack or zone."""
     line = group[0].line
-    if group[0].group is None:
-        for piece in group:
-            _place_tightest(ledger, piece, fitting)
-        return
     areas = {}
     for worker in fitting:
         area = areas.setdefault(group_of(worker, line.adjacency), [])
@@ -237,20 +275,14 @@
             best = min(best, (room, str(key), key)) if best else (room, str(key), key)
     if best is None:
         return
-    area = [worker for worker, _ in areas[best[2]]]
+    rooms = _Rooms(line.shape, [worker for worker, _ in areas[best[2]]])
     for piece in group:
-        _place_tightest(ledger, piece, area)
+        _place_tightest(ledger, piece, rooms)
 
 
-def _place_tightest(ledger, piece, workers):
-    """Place a slice where the least stays unreserved; prefer idle room."""
-    shape = piece.line.shape
-    best = None
-    for worker in workers:
-        room = worker.unreserved
-        if shape.fits(room):
-            rank = (room.accelerators, room.cpu_milli, worker.name)
-            if best is None or rank < best[0]:
-                best = (rank, worker)
-    if best is not None:
-        ledger._place(piece, best[1])
+def _place_tightest(ledger, piece, rooms):
+    """Place a slice where the least stays unreserved, if it fits anywhere."""
+    worker = rooms.take()
+    if worker is not None:
+        ledger._place(piece, worker)
+        rooms.put(worker)
--- a/packages/policy/src/samphiredeal/policy/scheduler.py
+++ b/packages/policy/src/samphiredeal/policy/scheduler.py
@@ -261,12 +261,15 @@
         infos = list(self._infos.values())
         if not infos:
             return None, ["no worker is known, so the guarantees are not checked"]
+        zones = sorted({info.zone for info in infos})
+        shapes = _guaranteed_shapes(configuration)
+        # Workers that are too small for every slice need not be packed.
+        infos = [i for i in infos if any(s.fits(i.capacity) for s in shapes)]
         unplaced = _trial_ledger(infos, configuration, None).unplaced()
         if unplaced:
             piece = unplaced[0]
             lack = f"{len(unplaced)} slices, first {tuple(piece.line.shape)}"
             return f"guarantees do not fit: account {piece.account}: {lack}", []
-        zones = sorted({info.zone for info in infos})
         return None, [
             f"guarantees do not survive the loss of zone {zone}"
             for zone in zones
@@ -754,17 +757,34 @@
         return room >= job.members
 
 
+class _TrialCluster:
+    """Empty workers without indexes, for a trial of a configuration."""
+
+    def __init__(self, workers):
+        self.workers = {worker.name: worker for worker in workers}
+
+
 def _trial_ledger(infos, configuration, without_zone):
     """Return a ledger of the configuration on empty workers, without one zone."""
-    cluster = Cluster()
-    for info in infos:
-        if info.zone != without_zone:
-            cluster.add(Worker(info, configuration.labels_of(info)))
-    ledger = Ledger(cluster)
+    workers = [
+        Worker(info, configuration.labels_of(info))
+        for info in infos
+        if info.zone != without_zone
+    ]
+    ledger = Ledger(_TrialCluster(workers))
     ledger.configure(configuration.accounts)
     return ledger
 
 
+def _guaranteed_shapes(configuration):
+    """Return the distinct shapes of all guarantees."""
+    return {
+        line.shape
+        for document in configuration.accounts.values()
+        for line in config.guarantees(document)
+    }
+
+
 def _signature(job):
     """Return what makes jobs alike in where they fit."""
     return (
