Give attempts ids that no two schedulers share; split the large modules

Cause: attempt ids were counted anew by each scheduler, and agents remember attempts for ten minutes, so a new scheduler's attempt could be answered with the end of an old one, "done" among them (found by reading; the test test_two_schedulers_never_give_the_same_attempt_id failed first). The epoch is now part of the id.

Ruled out: forgetting attempts at a new epoch (agents are the truth for it).

Also, without change of behaviour: admission and trials out of scheduler.py (798 to 610 lines), homes, periodic work and hellos out of node.py (725 to 664).

--- a/packages/entry/src/samphiredeal/entry/node.py
+++ b/packages/entry/src/samphiredeal/entry/node.py
@@ -7,29 +7,35 @@
 from typing import NamedTuple
 
 import msgspec
-from twisted.internet.defer import ensureDeferred
-from twisted.internet.task import LoopingCall, deferLater
+from twisted.internet.task import deferLater
 
-from samphiredeal.entry import sessions as agent_sessions
 from samphiredeal.entry.burn import SAVE_EVERY_S, Counts, ReportStore, make_report
 from samphiredeal.entry.claims import Claims
 from samphiredeal.entry.configstore import Accepted, ConfigStore
 from samphiredeal.entry.confirmation import Confirmation
 from samphiredeal.entry.dispatches import Dispatches
+from samphiredeal.entry.homes import Homes
 from samphiredeal.entry.jobstore import (
     JobStore,
     decode_job,
     encode_job,
 )
-from samphiredeal.entry.lease import EntryRow, Membership, SchedulerLease
+from samphiredeal.entry.lease import (
+    RENEW_S as LEASE_RENEW_S,
+)
+from samphiredeal.entry.lease import (
+    EntryRow,
+    Membership,
+    SchedulerLease,
+)
 from samphiredeal.entry.peers import BEAT_S, Peers
+from samphiredeal.entry.periodic import Periodic
 from samphiredeal.entry.requests import RequestServer
 from samphiredeal.entry.routing import Router
 from samphiredeal.entry.scheduling import SchedulerHost
-from samphiredeal.entry.sessions import AgentInfo, Sessions
+from samphiredeal.entry.sessions import Sessions, agent_info
 from samphiredeal.model import configuration as config
 from samphiredeal.model import verdict
-from samphiredeal.model.shape import Shape
 from samphiredeal.platform.table import Unavailable
 from samphiredeal.wire import codec
 from samphiredeal.wire.messages import (
@@ -125,13 +131,11 @@
         self._reports = ReportStore(table, objects, identity.incarnation)
         self._zones_out = set()
         self._host = None
-        self._homes = {}
-        self._missing = {}
+        self._homes = self._make_homes()
         self._told_holder = ""
         self._draining = False
-        self._busy = set()
         self._links = set()
-        self._loops = []
+        self._periodic = Periodic(clock)
 
     # What the HTTP API asks
 
@@ -218,16 +222,14 @@
 
     def start(self):
         """Begin all periodic work."""
-        for seconds, step in (
-            (TICK_S, self._tick),
-            (BEAT_S, self._peers.tick),
-        ):
-            self._loop(seconds, step)
-        self._loop(STORE_POLL_S, lambda: self._spawn("config", self._poll_config))
-        self._loop(1.0, lambda: self._spawn("members", self._renew))
-        self._loop(1.0, lambda: self._spawn("lease", self._renew_lease))
-        self._loop(SAVE_EVERY_S, lambda: self._spawn("report", self._save_counts))
-        self._loop(JOB_SWEEP_S, lambda: self._spawn("sweep", self._sweep_jobs))
+        periodic = self._periodic
+        periodic.every(TICK_S, self._tick)
+        periodic.every(BEAT_S, self._peers.tick)
+        periodic.every_coroutine(STORE_POLL_S, "config", self._config.refresh)
+        periodic.every_coroutine(LEASE_RENEW_S, "members", self._renew)
+        periodic.every_coroutine(LEASE_RENEW_S, "lease", self._renew_lease)
+        periodic.every_coroutine(SAVE_EVERY_S, "report", self._save_counts)
+        periodic.every_coroutine(JOB_SWEEP_S, "sweep", self._sweep_jobs)
 
     async def drain(self, grace_s):
         """Stop as planned: nothing new, finish what is in flight, leave."""
@@ -242,9 +244,7 @@
 
     def stop(self):
         """Stop at once."""
-        for loop in self._loops:
-            if loop.running:
-                loop.stop()
+        self._periodic.stop()
         if self._host is not None:
             self._host.end()
         self._peers.close()
@@ -258,36 +258,14 @@
             self._host = None
             await self._lease.give_up()
 
-    def _loop(self, seconds, step):
-        loop = LoopingCall(step)
-        loop.clock = self._clock
-        self._loops.append(loop)
-        loop.start(seconds, now=True)
-
-    def _spawn(self, name, work):
-        """Run periodic work unless its last run still goes on."""
-        if name in self._busy:
-            return
-        self._busy.add(name)
-
-        async def run():
-            try:
-                await work()
-            finally:
-                self._busy.discard(name)
-
-        ensureDeferred(run())
-
     def _tick(self):
         for session in self._sessions.lost():
             self._lose(session)
         self._router.pump()
         if self._host is not None:
             self._host.tick()
-            self._lose_missing()
-
-    async def _poll_config(self):
-        await self._config.refresh()
+            for name in self._homes.take_missing():
+                self._host.worker_lost(name)
 
     async def _renew(self):
         if self._draining:
@@ -316,8 +294,7 @@
         return max((s.epoch for s in self._peers.states.values()), default=0)
 
     def _become_holder(self):
-        self._homes = {}
-        self._missing = {}
+        self._homes = self._make_homes()
         self._host = SchedulerHost(
             self._clock,
             self._jobs,
@@ -386,7 +363,7 @@
             self._on_agent_hello(link, message)
 
     def _on_agent_hello(self, link, hello):
-        info = _agent_info(hello)
+        info = agent_info(hello)
         if info is None:
             link.send(HelloRefused("the hello's document is malformed"))
             return
@@ -589,38 +566,18 @@
             self._peers.send(self.holder, message)
 
     def _on_agent_up(self, message, home):
-        if self._host is None:
-            return
-        fields = msgspec.json.decode(message.document)
-        info = AgentInfo(**{**fields, "capacity": Shape(*fields["capacity"])})
-        self._homes[info.name] = home
-        self._missing.pop(info.name, None)
-        self._host.worker_up(info.worker)
+        if self._host is not None:
+            self._host.worker_up(self._homes.on_agent_up(message, home).worker)
 
     def _on_agent_lost(self, message, home):
-        if self._host is not None and self._homes.get(message.name) == home:
-            del self._homes[message.name]
+        if self._host is not None and self._homes.on_agent_lost(message.name, home):
             self._host.worker_lost(message.name)
 
-    def _lose_missing(self):
-        """Lose workers whose home entry is gone and that found no other."""
-        now = self._clock.seconds()
-        live = set(self._peers.states) | {self._identity.name}
-        for name, home in list(self._homes.items()):
-            if home in live:
-                self._missing.pop(name, None)
-            elif now - self._missing.setdefault(name, now) > agent_sessions.LOST_S:
-                del self._homes[name]
-                del self._missing[name]
-                self._host.worker_lost(name)
+    def _make_homes(self):
+        return Homes(self._clock, self._identity.name, self._peers, self._on_relay)
 
     def _send_to_worker(self, worker, message):
-        home = self._homes.get(worker)
-        relay = Relay(worker, self._lease.epoch, codec.encode(message))
-        if home == self._identity.name:
-            self._on_relay(relay)
-        elif home is not None:
-            self._peers.send(home, relay)
+        self._homes.send(worker, self._lease.epoch, message)
 
     def _on_relay(self, relay):
         session = self._sessions.get(relay.agent)
@@ -705,21 +662,3 @@
 
 def _milliseconds(seconds):
     return int(min(seconds, 1e6) * 1000)
-
-
-def _agent_info(hello):
-    """Return what an agent's hello tells, or None if it is malformed."""
-    try:
-        document = msgspec.json.decode(hello.document)
-        return AgentInfo(
-            hello.name,
-            document["kind"],
-            hello.zone,
-            document["rack"],
-            hello.incarnation,
-            Shape(*document["capacity"]),
-            document["slots"],
-            document["labels"],
-        )
-    except (msgspec.DecodeError, KeyError, TypeError):
-        return None
--- /dev/null
+++ b/packages/entry/src/samphiredeal/entry/periodic.py
@@ -0,0 +1,43 @@
+"""Periodic work on a clock, each kind at most once at a time."""
+
+from twisted.internet.defer import ensureDeferred
+from twisted.internet.task import LoopingCall
+
+
+class Periodic:
+    """Repeats steps until it is stopped."""
+
+    def __init__(self, clock):
+        self._clock = clock
+        self._loops = []
+        self._busy = set()
+
+    def every(self, seconds, step):
+        """Call a function now and again after each interval."""
+        loop = LoopingCall(step)
+        loop.clock = self._clock
+        self._loops.append(loop)
+        loop.start(seconds, now=True)
+
+    def every_coroutine(self, seconds, name, work):
+        """Run a coroutine function; skip a turn while the last run goes on."""
+        self.every(seconds, lambda: self._spawn(name, work))
+
+    def stop(self):
+        """Stop all repetition."""
+        for loop in self._loops:
+            if loop.running:
+                loop.stop()
+
+    def _spawn(self, name, work):
+        if name in self._busy:
+            return
+        self._busy.add(name)
+
+        async def run():
+            try:
+                await work()
+            finally:
+                self._busy.discard(name)
+
+        ensureDeferred(run())
--- a/packages/entry/src/samphiredeal/entry/scheduling.py
+++ b/packages/entry/src/samphiredeal/entry/scheduling.py
@@ -42,7 +42,7 @@
         self._clock = clock
         self._jobs = jobs
         self._epoch = stamp()[0]
-        self._scheduler = Scheduler()
+        self._scheduler = Scheduler(self._epoch)
         self._on_done = on_done
         self._driver = GangDriver(clock, send, self._on_gang_event, stamp)
         self._send = send
--- a/packages/entry/src/samphiredeal/entry/sessions.py
+++ b/packages/entry/src/samphiredeal/entry/sessions.py
@@ -2,6 +2,8 @@
 
 from typing import NamedTuple
 
+import msgspec
+
 from samphiredeal.model.job import WorkerInfo
 from samphiredeal.model.shape import Shape
 from samphiredeal.wire.messages import EXECUTOR
@@ -37,6 +39,24 @@
         )
 
 
+def agent_info(hello):
+    """Return what an agent's hello tells, or None if it is malformed."""
+    try:
+        document = msgspec.json.decode(hello.document)
+        return AgentInfo(
+            hello.name,
+            document["kind"],
+            hello.zone,
+            document["rack"],
+            hello.incarnation,
+            Shape(*document["capacity"]),
+            document["slots"],
+            document["labels"],
+        )
+    except (msgspec.DecodeError, KeyError, TypeError):
+        return None
+
+
 class Session:
     """One agent and its newest link."""
 
--- a/packages/policy/src/samphiredeal/policy/scheduler.py
+++ b/packages/policy/src/samphiredeal/policy/scheduler.py
@@ -9,88 +9,53 @@
 from samphiredeal.model import configuration as config
 from samphiredeal.model import selector
 from samphiredeal.model.job import URGENT
-from samphiredeal.model.shape import NOTHING
-from samphiredeal.policy import coverage, placement, reservation, scoring
-from samphiredeal.policy.actions import FinishJob, StartAttempt, StopAttempt
+from samphiredeal.policy import coverage, placement, reservation, scoring, trial
+from samphiredeal.policy.actions import FinishJob, StopAttempt
+from samphiredeal.policy.admission import AWAITING_ROOM, STOPPING, Admission, Attempt
 from samphiredeal.policy.cluster import Cluster, Worker, allows
 from samphiredeal.policy.estimate import CAUTIOUS, Estimator
 from samphiredeal.policy.health import Health
 from samphiredeal.policy.ledger import Ledger
 from samphiredeal.policy.queue import Queue, Waiting
-from samphiredeal.policy.reclaim import choose_victims
 
-# Grace for a checkpoint. Urgent work must start within 5.7 s of asking; the
-# rest of that time is for the stop, the reservation and the start.
-RECLAIM_GRACE_S = 2.5
 ZONE_GRACE_S = 20.0
 # The workers of a zone that comes back are used again spread over this time.
 ZONE_RETURN_S = 30.0
 # Distinct blocked signatures after which a line of jobs is left for later.
 _BLOCKED_PER_LINE = 8
 
-AWAITING_ROOM = "awaiting-room"
-RUNNING = "running"
-STOPPING = "stopping"
-
-
-class Attempt:
-    """One try at running a job."""
-
-    __slots__ = (
-        "covered",
-        "id",
-        "job",
-        "movable",
-        "places",
-        "progress_s",
-        "protected_until",
-        "shape",
-        "since",
-        "started_at",
-        "state",
-    )
-
-    def __init__(self, attempt_id, waiting, places, shape, covered):
-        self.id = attempt_id
-        self.job = waiting.job
-        self.since = waiting.since
-        self.progress_s = waiting.progress_s
-        self.places = places
-        self.shape = shape
-        self.covered = covered
-        self.movable = True
-        self.protected_until = 0.0
-        self.state = AWAITING_ROOM
-        self.started_at = None
-
 
 class Scheduler:
-    """Decides for one region; `make_score(mix)` gives the scoring of places."""
+    """Decides for one region; `make_score(mix)` gives the scoring of places.
+
+    The epoch is part of attempts' ids, so that no two schedulers give the same.
+    """
 
     def __init__(
         self,
+        epoch=0,
         make_score=lambda mix: scoring.best_fit,
         reserve_after_s=reservation.RESERVE_AFTER_S,
     ):
         self._cluster = Cluster()
         self._ledger = Ledger(self._cluster)
         self._queue = Queue()
-        self._attempts = {}
-        self._attempt_of = {}
+        self._actions = []
+        self._admission = Admission(
+            self._cluster, self._ledger, self._queue, self._actions
+        )
         self._mix = scoring.ShapeMix()
         self._score = make_score(self._mix)
         self._estimator = Estimator()
         self._health = Health()
         self._configuration = config.EMPTY
-        self._usage = {}
         self._reservations = {}
         self._reserve_after_s = reserve_after_s
         self._returning = {}
-        self._awaiting = {}
         self._blocked = {}
         self._blocked_version = -1
-        self._actions = []
         self._attempt_count = 0
+        self._epoch = epoch
         self._infos = {}
 
     @property
@@ -111,7 +76,7 @@
     @property
     def attempts(self):
         """Attempts by id."""
-        return self._attempts
+        return self._admission.attempts
 
     @property
     def estimator(self):
@@ -130,7 +95,7 @@
 
     def attempt_of(self, job_id):
         """Return the attempt of a job, or None."""
-        return self._attempts.get(self._attempt_of.get(job_id))
+        return self._admission.attempt_of(job_id)
 
     def fragmentation(self):
         """Return the share of free accelerators that the largest waiting job can't use.
@@ -170,7 +135,7 @@
             return
         self._uncover(self._ledger.worker_gone(worker))
         for attempt_id in list(worker.attempts):
-            self._attempts[attempt_id].places.pop(name, None)
+            self.attempts[attempt_id].places.pop(name, None)
         self._returning.pop(name, None)
 
     def configure(self, configuration, now):
@@ -205,14 +170,14 @@
             self._uncover(self._ledger.worker_gone(worker))
         ordered = sorted(leaving, key=lambda a: (self._urgency(a), a))
         for attempt_id in ordered:
-            if self._attempts[attempt_id].movable:
-                self._stop(attempt_id, ZONE_GRACE_S, f"zone {zone} is out")
+            if self.attempts[attempt_id].movable:
+                self._admission.stop(attempt_id, ZONE_GRACE_S, f"zone {zone} is out")
         for job_id, held in list(self._reservations.items()):
             if any(self._cluster.workers[n].zone == zone for n in held.places):
                 self._drop_reservation(job_id)
 
     def _urgency(self, attempt_id):
-        return self._attempts[attempt_id].job.klass != URGENT
+        return self.attempts[attempt_id].job.klass != URGENT
 
     def _zone_back(self, zone, now):
         """Use the workers of a zone again, spread over `ZONE_RETURN_S`."""
@@ -225,7 +190,7 @@
     def _uncover(self, attempt_ids):
         """Take the cover of a guarantee from attempts that lost their slices."""
         for attempt_id in attempt_ids:
-            attempt = self._attempts.get(attempt_id)
+            attempt = self.attempts.get(attempt_id)
             if attempt is None:
                 continue
             attempt.covered = False
@@ -238,6 +203,10 @@
 
     # Jobs
 
+    def check(self, configuration):
+        """Return (reason to refuse or None, warnings); see `trial.check`."""
+        return trial.check(list(self._infos.values()), configuration)
+
     def refusal(self, job):
         """Return why a job can never run as it is, or None."""
         account = self._configuration.accounts.get(job.account)
@@ -252,33 +221,9 @@
             return "movable: work that may not be moved must fit the guarantee"
         return missing
 
-    def check(self, configuration):
-        """Return (reason to refuse or None, warnings) for accounts' guarantees.
-
-        Guarantees that cannot be packed onto the known workers are refused;
-        those that would not survive the loss of one zone give warnings.
-        """
-        infos = list(self._infos.values())
-        if not infos:
-            return None, ["no worker is known, so the guarantees are not checked"]
-        zones = sorted({info.zone for info in infos})
-        shapes = _guaranteed_shapes(configuration)
-        # Workers that are too small for every slice need not be packed.
-        infos = [i for i in infos if any(s.fits(i.capacity) for s in shapes)]
-        unplaced = _trial_ledger(infos, configuration, None).unplaced()
-        if unplaced:
-            piece = unplaced[0]
-            lack = f"{len(unplaced)} slices, first {tuple(piece.line.shape)}"
-            return f"guarantees do not fit: account {piece.account}: {lack}", []
-        return None, [
-            f"guarantees do not survive the loss of zone {zone}"
-            for zone in zones
-            if _trial_ledger(infos, configuration, zone).unplaced()
-        ]
-
     def submit(self, job, now, progress_s=0.0):
         """Take in a job; one that is known already is left as it is."""
-        if job.id in self._queue or job.id in self._attempt_of:
+        if job.id in self._queue or self.attempt_of(job.id):
             return
         self._mix.observe(job.shape.accelerators)
         self._queue.add(Waiting(job, now, progress_s))
@@ -290,10 +235,7 @@
         attempt = Attempt(attempt_id, waiting, known, job.shape, False)
         attempt.movable = self._is_movable(job)
         self._cover_in_place(attempt)
-        self._admit(attempt, now)
-        attempt.state = RUNNING
-        self._awaiting.pop(attempt_id, None)
-        attempt.started_at = now
+        self._admission.adopt(attempt, now)
 
     def _cover_in_place(self, attempt):
         """Claim slices of the account where an adopted attempt already runs."""
@@ -323,7 +265,7 @@
         if attempt is None:
             return False
         if attempt.state == AWAITING_ROOM:
-            self._release(attempt)
+            self._admission.release(attempt)
             self._forget_job(job_id)
             self._actions.append(FinishJob(job_id, "cancelled", "cancelled"))
         else:
@@ -333,7 +275,7 @@
 
     def started(self, attempt_id, now):
         """Take in that all members of an attempt run."""
-        attempt = self._attempts.get(attempt_id)
+        attempt = self.attempts.get(attempt_id)
         if attempt is not None:
             attempt.started_at = now
 
@@ -344,11 +286,11 @@
         with its age and `progress_s` of kept work) or ``cancelled``. `blame`
         names the workers whose members failed.
         """
-        attempt = self._attempts.get(attempt_id)
+        attempt = self.attempts.get(attempt_id)
         if attempt is None:
             return
         workers = list(attempt.places)
-        self._release(attempt)
+        self._admission.release(attempt)
         job = attempt.job
         if state == "done":
             self._succeeded(attempt, workers, now)
@@ -363,9 +305,9 @@
 
     def give_up(self, attempt_id, reason):
         """End a job whose attempt may have run and must not run again."""
-        attempt = self._attempts.get(attempt_id)
+        attempt = self.attempts.get(attempt_id)
         if attempt is not None:
-            self._release(attempt)
+            self._admission.release(attempt)
             self._finish(attempt.job.id, "failed", reason)
 
     def _succeeded(self, attempt, workers, now):
@@ -414,8 +356,9 @@
         self._place_covered(now)
         self._reserve_for_old(now)
         self._place_borrowers(now)
-        self._start_ready(now)
-        actions, self._actions = self._actions, []
+        self._admission.start_ready(now)
+        actions = list(self._actions)
+        self._actions.clear()
         return actions
 
     def next_wakeup(self, now):
@@ -485,7 +428,7 @@
         attempt = self._new_attempt(waiting, places, shape, covered=True)
         for part in parts:
             self._ledger.claim(attempt.id, part.piece, shape.times(part.members))
-        self._admit(attempt, now)
+        self._admission.admit(attempt, now)
         return True
 
     def _covering_parts(self, job, shape):
@@ -542,7 +485,9 @@
             waiting.blocked_by = "no room is free that it may use"
             self._blocked[key] = waiting.blocked_by
             return False
-        self._admit(self._new_attempt(waiting, places, shape, covered=False), now)
+        self._admission.admit(
+            self._new_attempt(waiting, places, shape, covered=False), now
+        )
         return True
 
     def _admits(self, worker, job, covered, ends_at=0.0):
@@ -584,7 +529,7 @@
             self._cluster,
             job,
             shape,
-            self._attempts,
+            self.attempts,
             now,
             lambda worker: self._admits(worker, job, False),
         )
@@ -605,7 +550,7 @@
         shape = self._estimator.shape(waiting.job)
         attempt = self._new_attempt(waiting, held.places, shape, covered=False)
         attempt.protected_until = now + reservation.PROTECTED_S
-        self._admit(attempt, now)
+        self._admission.admit(attempt, now)
 
     def _drop_reservation(self, job_id):
         held = self._reservations.pop(job_id, None)
@@ -623,120 +568,15 @@
         self._queue.remove(waiting.job.id)
         self._drop_reservation(waiting.job.id)
         self._attempt_count += 1
-        attempt_id = f"{waiting.job.id}.{self._attempt_count}"
+        attempt_id = f"{waiting.job.id}.{self._epoch}.{self._attempt_count}"
         attempt = Attempt(attempt_id, waiting, dict(places), shape, covered)
         attempt.movable = self._is_movable(waiting.job)
         return attempt
 
-    def _admit(self, attempt, now):
-        """Count an attempt on its workers and move those in its way."""
-        self._attempts[attempt.id] = attempt
-        self._attempt_of[attempt.job.id] = attempt.id
-        self._awaiting[attempt.id] = attempt
-        for name, shape in self._shapes_of(attempt):
-            worker = self._cluster.workers[name]
-            self._cluster.occupy(worker, attempt.id, shape, attempt.covered)
-        account = attempt.job.account
-        self._usage[account] = self._usage.get(account, NOTHING).plus(attempt.job.total)
-        self._reclaim(attempt, now)
-
-    def _reclaim(self, attempt, now):
-        workers = [self._cluster.workers[name] for name in attempt.places]
-
-        def may_move(other):
-            if other.id == attempt.id or other.state == STOPPING:
-                return False
-            if not other.movable:
-                return False
-            if attempt.covered:
-                return True
-            return other.protected_until <= now
-
-        victims = choose_victims(workers, self._attempts, may_move, now, self._short_of)
-        for victim in victims or ():
-            self._stop(victim, RECLAIM_GRACE_S, f"room for {attempt.job.id}")
-
-    def _short_of(self, worker):
-        """Return the room a worker lacks beyond what is being freed already."""
-        free = worker.free
-        for attempt_id, (shape, _covered) in worker.attempts.items():
-            if self._attempts[attempt_id].state == STOPPING:
-                free = free.plus(shape)
-        return type(free)(*[max(0, -amount) for amount in free])
-
-    def _stop(self, attempt_id, grace_s, reason):
-        attempt = self._attempts[attempt_id]
-        if attempt.state == STOPPING:
-            return
-        if attempt.state == AWAITING_ROOM:
-            self._release(attempt)
-            self._queue.add(Waiting(attempt.job, attempt.since, attempt.progress_s))
-            return
-        attempt.state = STOPPING
-        self._actions.append(StopAttempt(attempt_id, True, grace_s, reason))
-
-    def _start_ready(self, now):
-        """Start attempts that have their room, in the order of admission.
-
-        An attempt does not wait for the room of those admitted after it.
-        """
-        later = self._awaited_room()
-        for attempt in list(self._awaiting.values()):
-            for name, shape in self._shapes_of(attempt):
-                later[name] = later[name].minus(shape)
-            if attempt.id not in self._awaiting:
-                # Making room for another one has put it back into the queue.
-                continue
-            if sum(attempt.places.values()) < attempt.job.members:
-                self._stop(attempt.id, 0.0, "a worker was lost")
-            elif self._has_room(attempt, later):
-                del self._awaiting[attempt.id]
-                attempt.state = RUNNING
-                self._actions.append(
-                    StartAttempt(
-                        attempt.id, attempt.job, dict(attempt.places), attempt.covered
-                    )
-                )
-            else:
-                self._reclaim(attempt, now)
-
-    def _awaited_room(self):
-        """Return the room that awaiting attempts take, by worker."""
-        rooms = {}
-        for attempt in self._awaiting.values():
-            for name, shape in self._shapes_of(attempt):
-                rooms[name] = rooms.get(name, NOTHING).plus(shape)
-        return rooms
-
-    def _shapes_of(self, attempt):
-        """Yield (worker name, shape) of an attempt's places."""
-        for name, count in attempt.places.items():
-            yield name, attempt.shape.times(count)
-
-    def _has_room(self, attempt, later):
-        """Return whether the places have room, but for later attempts."""
-        return all(
-            min(self._cluster.workers[name].free.plus(later[name])) >= 0
-            for name in attempt.places
-        )
-
-    def _release(self, attempt):
-        for name in attempt.places:
-            worker = self._cluster.workers.get(name)
-            if worker is not None:
-                self._cluster.release(worker, attempt.id)
-        self._ledger.release(attempt.id)
-        self._awaiting.pop(attempt.id, None)
-        self._attempts.pop(attempt.id, None)
-        self._attempt_of.pop(attempt.job.id, None)
-        account = attempt.job.account
-        self._usage[account] = self._usage[account].minus(attempt.job.total)
-        self._cluster.touch()
-
     def _share(self, account):
         """Return an account's dominant share, divided by its weight."""
         weight = self._configuration.accounts.get(account, {}).get("weight", 1.0)
-        used = self._usage.get(account, NOTHING)
+        used = self._admission.usage(account)
         return used.dominant_share(self._cluster.capacity) / weight
 
     def _is_movable(self, job):
@@ -757,34 +597,6 @@
         return room >= job.members
 
 
-class _TrialCluster:
-    """Empty workers without indexes, for a trial of a configuration."""
-
-    def __init__(self, workers):
-        self.workers = {worker.name: worker for worker in workers}
-
-
-def _trial_ledger(infos, configuration, without_zone):
-    """Return a ledger of the configuration on empty workers, without one zone."""
-    workers = [
-        Worker(info, configuration.labels_of(info))
-        for info in infos
-        if info.zone != without_zone
-    ]
-    ledger = Ledger(_TrialCluster(workers))
-    ledger.configure(configuration.accounts)
-    return ledger
-
-
-def _guaranteed_shapes(configuration):
-    """Return the distinct shapes of all guarantees."""
-    return {
-        line.shape
-        for document in configuration.accounts.values()
-        for line in config.guarantees(document)
-    }
-
-
 def _signature(job):
     """Return what makes jobs alike in where they fit."""
     return (
--- a/packages/policy/tests/test_scheduler.py
+++ b/packages/policy/tests/test_scheduler.py
@@ -167,7 +167,9 @@
         for attempt in scheduler.attempts.values():
             assert attempt.covered or attempt.movable or not attempt.job.movable
         self.check_reclaimable()
-        known = set(scheduler._attempt_of) | {w.job.id for w in scheduler.queue.all()}
+        known = {a.job.id for a in scheduler.attempts.values()} | {
+            w.job.id for w in scheduler.queue.all()
+        }
         assert known == self.open_jobs, "a job is lost"
 
     def check_reclaimable(self):
@@ -353,3 +355,15 @@
     host.end(host.stopping[0], "stopped")
     host.decide()
     assert host.scheduler.attempt_of(first.id).id in host.running
+
+
+def test_two_schedulers_never_give_the_same_attempt_id():
+    """Agents remember attempts across a change of the scheduler."""
+    ids = set()
+    for epoch in (1, 2):
+        scheduler = Scheduler(epoch)
+        scheduler.configure(Configuration(1, {"guest": {}}), 0.0)
+        scheduler.worker_up(make_worker("w"), 0.0)
+        scheduler.submit(make_job("j", "guest"), 0.0)
+        ids |= {action.attempt_id for action in scheduler.decide(0.0)}
+    assert len(ids) == 2
--- a/packages/standins/src/samphiredeal/standins/demo.py
+++ b/packages/standins/src/samphiredeal/standins/demo.py
@@ -5,6 +5,7 @@
 back, and reclaims a guarantee. Exit status 1 if a step fails.
 """
 
+import os
 import sys
 import tempfile
 import time
@@ -157,8 +158,10 @@
 
 def main():
     """Run all steps; return the exit status."""
+    # With this variable the roles run from another program, such as the binary.
+    program = os.environ.get("SAMPHIREDEAL_PROGRAM")
     with tempfile.TemporaryDirectory() as folder:
-        cluster = LocalCluster(folder)
+        cluster = LocalCluster(folder, program and [program])
         try:
             url = start_cluster(cluster)
             for name, step in STEPS:
