Make the report's plots readable

Cause: seen in a browser, minute labels were cut to '-…' and answered requests were drawn in red. Ruled out: fewer points (hides bursts). Now labels are whole and verdicts green, amber and red. Looked at again in the browser.

--- a/packages/cli/src/samphiredeal/cli/report.py
+++ b/packages/cli/src/samphiredeal/cli/report.py
@@ -3,9 +3,18 @@
 import html
 
 import pygal
+from pygal.style import Style
 
-_MINUTE_S = 60
 _PLOT_POINTS = 60
+# For ran, not-run and may-have-run.
+_STYLE = Style(
+    colors=("#4c9f70", "#e0a030", "#b00020"),
+    background="white",
+    plot_background="white",
+    guide_stroke_color="#dddddd",
+    major_guide_stroke_color="#bbbbbb",
+    font_family="sans-serif",
+)
 
 _PAGE = """<!doctype html>
 <html lang="en"><head><meta charset="utf-8"><title>samphiredeal report</title>
@@ -127,6 +136,8 @@
 def _style(title):
     return {
         "title": title,
+        "style": _STYLE,
+        "truncate_label": -1,
         "height": 300,
         "width": 900,
         "js": (),
