--- a/packages/entry/src/samphiredeal/entry/api.py
+++ b/packages/entry/src/samphiredeal/entry/api.py
@@ -197,7 +197,7 @@
     if missing is not None:
         raise BadRequest(f"job can run nowhere: {missing}", 422)
     nonce = node.new_id()
-    record = await node.jobs.submit(job, nonce)
+    record = await node.jobs.submit(job, nonce, node.wall_seconds())
     if isinstance(record, Unavailable):
         request.setHeader(http.VERDICT_HEADER, b"may-have-run")
         text = "the table does not answer; submit again under the same id"
--- a/packages/entry/src/samphiredeal/entry/jobstore.py
+++ b/packages/entry/src/samphiredeal/entry/jobstore.py
@@ -27,7 +27,11 @@
 
 
 class JobRecord(NamedTuple):
-    """The content of a job's row; `state` is ``active`` or how it ended."""
+    """The content of a job's row; `state` is ``active`` or how it ended.
+
+    `submitted_at` is wall time in seconds, from which a scheduler that takes
+    over tells how long the job has waited.
+    """
 
     job: Job
     state: str = "active"
@@ -35,6 +39,7 @@
     attempt: str = ""
     cancelled: bool = False
     nonce: str = ""
+    submitted_at: float = 0.0
 
 
 class StoredJob(NamedTuple):
@@ -77,13 +82,13 @@
     def _done_key(self, job_id):
         return f"done/{self._region}/{job_id}"
 
-    async def submit(self, job, nonce):
+    async def submit(self, job, nonce, submitted_at=0.0):
         """Write a job's row if its id is new.
 
         Returns the `JobRecord` that stands, which is another's if the id was
         known, or an `Unavailable` after which the job may or may not be known.
         """
-        record = JobRecord(job, nonce=nonce)
+        record = JobRecord(job, nonce=nonce, submitted_at=submitted_at)
         answer = await write_settled(
             self._clock,
             self._table,
--- a/packages/entry/src/samphiredeal/entry/node.py
+++ b/packages/entry/src/samphiredeal/entry/node.py
@@ -91,7 +91,7 @@
     """One entry. `connect(address)` returns a Deferred of a link.
 
     `pick(sessions)` chooses two agents at random; tests make it predictable.
-    `wall()` gives seconds that all VMs share, for reports only.
+    `wall()` gives seconds that all VMs share, for reports and the age of jobs.
     """
 
     def __init__(self, clock, identity, table, objects, connect, pick, wall=None):
@@ -127,7 +127,8 @@
             ),
             self.new_id,
         )
-        self._counts = Counts(wall or clock.seconds)
+        self._wall = wall or clock.seconds
+        self._counts = Counts(self._wall)
         self._reports = ReportStore(table, objects, identity.incarnation)
         self._zones_out = set()
         self._host = None
@@ -214,6 +215,10 @@
         newest = max(states, key=lambda state: state.epoch, default=None)
         return newest.holder if newest else ""
 
+    def wall_seconds(self):
+        """Return seconds that all VMs share, for the age of jobs and reports."""
+        return self._wall()
+
     def new_id(self):
         """Return an id that no other process makes."""
         return f"{self._identity.incarnation}-{next(self._ids)}"
@@ -300,6 +305,7 @@
             self._jobs,
             self._send_to_worker,
             self._stamp,
+            self._wall,
             on_done=self._counts.job,
         )
         self._host.begin(self._config.current)
--- a/packages/entry/src/samphiredeal/entry/scheduling.py
+++ b/packages/entry/src/samphiredeal/entry/scheduling.py
@@ -35,15 +35,17 @@
 
     `send(worker, message)` sends to an agent by way of its home entry;
     `stamp()` returns (epoch, revision, confirmation age in ms).
+    `wall()` gives the wall time by which rows tell when a job was submitted.
     `on_done(klass, completion_s)` is told of each job that is done.
     """
 
-    def __init__(self, clock, jobs, send, stamp, on_done=lambda *_: None):
+    def __init__(self, clock, jobs, send, stamp, wall, on_done=lambda *_: None):
         self._clock = clock
         self._jobs = jobs
         self._epoch = stamp()[0]
         self._scheduler = Scheduler(self._epoch)
         self._on_done = on_done
+        self._wall = wall
         self._driver = GangDriver(clock, send, self._on_gang_event, stamp)
         self._send = send
         self._began_at = clock.seconds()
@@ -118,8 +120,10 @@
         """Take in an active row, unless the job is known already."""
         job_id = record.job.id
         known = job_id in self._pausing or self._scheduler.attempt_of(job_id)
-        if not known:
-            self.submit(record.job)
+        held_back = job_id in self._held_back or job_id in self._finished
+        if not known and not held_back:
+            self._scheduler.submit(record.job, self._since(record))
+            self._dirty = True
 
     def refusal(self, fields):
         """Return why a job, given by its fields, can never run, or None."""
@@ -245,9 +249,14 @@
                 reason = f"attempt {record.attempt} may have run"
                 self._finish(FinishJob(job_id, "failed", reason))
             else:
-                self._scheduler.submit(record.job, self._clock.seconds())
+                self._scheduler.submit(record.job, self._since(record))
         self._dirty = True
 
+    def _since(self, record):
+        """Return when a job was submitted, on this process's clock."""
+        age_s = self._wall() - record.submitted_at if record.submitted_at else 0.0
+        return self._clock.seconds() - max(0.0, age_s)
+
     def _on_report(self, worker, report):
         """Take in what an agent holds; adopt attempts that are whole."""
         if report.epoch > self._epoch:
