Log one id from the caller's request to the upstream's answer

Cause: agents logged nothing of requests, and the entry's log action lived in a context that overlapping requests of one thread share, so their lines could nest in each other. Ruled out: passing the task's id over the wire (a field in every dispatch, for logs alone).

--- a/packages/agent/src/samphiredeal/agent/requests.py
+++ b/packages/agent/src/samphiredeal/agent/requests.py
@@ -6,6 +6,7 @@
 
 import hashlib
 
+from eliot import log_message
 from twisted.internet.defer import ensureDeferred
 
 from samphiredeal.agent import memory
@@ -124,6 +125,11 @@
     def _refuse(self, link, dispatch, reason):
         self._memory.refuse(dispatch.dispatch_id, dispatch.permit, reason)
         free = self.offer(link)
+        log_message(
+            message_type="dispatch_refused",
+            dispatch_id=dispatch.dispatch_id,
+            reason=reason.code,
+        )
         link.send(Refusal(dispatch.dispatch_id, reason.code, reason.text, free))
 
     def _attach(self, link, record):
@@ -163,6 +169,12 @@
             record.dispatch.dispatch_id, status, failed, body, digest(body), 0
         )
         self._memory.end(record, answer)
+        log_message(
+            message_type="dispatch_ended",
+            dispatch_id=answer.dispatch_id,
+            status=status,
+            failed=failed,
+        )
         self._shares.give_back(record.dispatch.dispatch_id)
         for link in record.listeners:
             link.send(answer._replace(free=self.offer(link)))
--- a/packages/entry/src/samphiredeal/entry/api.py
+++ b/packages/entry/src/samphiredeal/entry/api.py
@@ -2,7 +2,7 @@
 
 import re
 
-from eliot import start_action
+from eliot import start_task
 from twisted.web.resource import Resource
 
 from samphiredeal.entry import http
@@ -98,19 +98,22 @@
 async def _request(node, metrics, clock, request):
     started_at = clock.seconds()
     asked = _parse_request(node, request, started_at)
-    with start_action(
+    # A task without a context: requests overlap within one thread.
+    task = start_task(
         action_type="request",
+        request_id=asked.request_id,
         account=asked.account,
         key=asked.key,
         request_class=asked.klass,
-    ) as action:
-        refused = node.refuse_reason()
-        if refused is not None:
-            outcome = verdict.not_run(refused)
-        else:
-            outcome = await node.requests.serve(asked)
-        reason = outcome.reason.code if outcome.reason else ""
-        action.add_success_fields(verdict=outcome.verdict, reason=reason)
+    )
+    try:
+        outcome = await _serve(node, asked)
+    except Exception as error:
+        task.finish(error)
+        raise
+    reason = outcome.reason.code if outcome.reason else ""
+    task.add_success_fields(verdict=outcome.verdict, reason=reason)
+    task.finish()
     seconds = clock.seconds() - started_at
     metrics.request_ended(asked.account, asked.klass, outcome, seconds)
     objective_s = node.config.current.accounts.get(asked.account, {}).get(
@@ -120,6 +123,13 @@
     return _answer_outcome(request, outcome)
 
 
+async def _serve(node, asked):
+    refused = node.refuse_reason()
+    if refused is not None:
+        return verdict.not_run(refused)
+    return await node.requests.serve(asked)
+
+
 def _parse_request(node, request, now):
     account = http.header(request, "Samphiredeal-Account")
     if account not in node.config.current.accounts:
@@ -147,6 +157,7 @@
         repeatable == "yes",
         request.content.read(),
         first_try == "yes",
+        node.new_id(),
     )
 
 
--- a/packages/entry/src/samphiredeal/entry/requests.py
+++ b/packages/entry/src/samphiredeal/entry/requests.py
@@ -2,6 +2,7 @@
 
 from typing import NamedTuple
 
+from eliot import log_message
 from twisted.internet.defer import Deferred, ensureDeferred
 from twisted.internet.task import deferLater
 
@@ -39,6 +40,7 @@
 
     `first_try` is the caller's word that the key was never sent before. It
     matters only while the table cannot tell what became of earlier tries.
+    `request_id` joins the log lines of entries and agents.
     """
 
     account: str
@@ -48,6 +50,7 @@
     repeatable: bool
     body: bytes
     first_try: bool = False
+    request_id: str = ""
 
 
 class RequestServer:
@@ -150,6 +153,12 @@
             request.body,
             digest(request.body),
         )
+        log_message(
+            message_type="dispatch",
+            request_id=request.request_id,
+            dispatch_id=dispatch_id,
+            agent=session.info.name,
+        )
         ended = self._dispatches.send(session, dispatch)
         give_up = self._clock.callLater(
             max(0.0, request.deadline - started_at) + ANSWER_GRACE_S,
--- a/tests/test_processes.py
+++ b/tests/test_processes.py
@@ -5,6 +5,7 @@
 nothing, malformed input leaves the process up.
 """
 
+import json
 import signal
 import socket
 import struct
@@ -203,3 +204,27 @@
         assert reply.status == status, (path, reply)
         assert text in str(reply.document), (text, reply.document)
     assert demo.request(url, "hall").accepted
+
+
+def test_logs_join_a_request_to_its_run_at_the_agent(cluster):
+    """One id leads from the caller's request to the dispatch at the agent."""
+    url = cluster.entry_urls["entry-zone-a"]
+    assert demo.request(url, "hall", key="logged", body=b"logged").accepted
+
+    def lines(name):
+        return [json.loads(line) for line in cluster.log_of(name).splitlines()]
+
+    asked = next(line for line in lines("entry-zone-a") if line.get("key") == "logged")
+    sent = next(
+        line
+        for line in lines("entry-zone-a")
+        if line.get("message_type") == "dispatch"
+        and line["request_id"] == asked["request_id"]
+    )
+    ended = [
+        line["dispatch_id"]
+        for line in lines(f"agent:{sent['agent']}")
+        if line.get("message_type") == "dispatch_ended"
+    ]
+    assert sent["dispatch_id"] in ended
+    assert "logged" not in cluster.log_of(f"agent:{sent['agent']}"), "no bodies"
