--- a/packages/agent/src/samphiredeal/agent/node.py
+++ b/packages/agent/src/samphiredeal/agent/node.py
@@ -10,6 +10,7 @@
 from typing import NamedTuple
 
 import msgspec
+from eliot import write_traceback
 from twisted.internet.defer import ensureDeferred
 from twisted.internet.task import LoopingCall, deferLater
 
@@ -115,7 +116,7 @@
         self._heartbeat_at = 0.0
         self._requests = None
         self._members = None
-        self._beat = LoopingCall(self._tick)
+        self._beat = LoopingCall(self._guarded_tick)
         self._beat.clock = clock
 
     @property
@@ -187,6 +188,13 @@
         side = self._requests or self._members
         return side is None or side.idle
 
+    def _guarded_tick(self):
+        """Log a fault of a tick; heartbeats and leases must go on."""
+        try:
+            self._tick()
+        except Exception:
+            write_traceback()
+
     def _tick(self):
         self._drop_silent_links()
         self._dial_missing()
--- a/packages/entry/src/samphiredeal/entry/periodic.py
+++ b/packages/entry/src/samphiredeal/entry/periodic.py
@@ -1,5 +1,10 @@
-"""Periodic work on a clock, each kind at most once at a time."""
+"""Periodic work on a clock, each kind at most once at a time.
 
+A step that fails is logged and repeated at its next turn; one fault must not end
+the heartbeats, leases and decisions of the process.
+"""
+
+from eliot import write_traceback
 from twisted.internet.defer import ensureDeferred
 from twisted.internet.task import LoopingCall
 
@@ -14,7 +19,7 @@
 
     def every(self, seconds, step):
         """Call a function now and again after each interval."""
-        loop = LoopingCall(step)
+        loop = LoopingCall(_guarded(step))
         loop.clock = self._clock
         self._loops.append(loop)
         loop.start(seconds, now=True)
@@ -37,7 +42,21 @@
         async def run():
             try:
                 await work()
+            except Exception:
+                write_traceback()
             finally:
                 self._busy.discard(name)
 
         ensureDeferred(run())
+
+
+def _guarded(step):
+    """Return a function that calls a step and logs what it raises."""
+
+    def call():
+        try:
+            step()
+        except Exception:
+            write_traceback()
+
+    return call
--- a/packages/policy/src/samphiredeal/policy/scheduler.py
+++ b/packages/policy/src/samphiredeal/policy/scheduler.py
@@ -133,6 +133,8 @@
         self._infos.pop(name, None)
         if worker is None:
             return
+        if worker.held_for is not None:
+            self._drop_reservation(worker.held_for)
         self._uncover(self._ledger.worker_gone(worker))
         for attempt_id in list(worker.attempts):
             self.attempts[attempt_id].places.pop(name, None)
--- a/packages/policy/tests/test_scheduler.py
+++ b/packages/policy/tests/test_scheduler.py
@@ -367,3 +367,22 @@
         scheduler.submit(make_job("j", "guest"), 0.0)
         ids |= {action.attempt_id for action in scheduler.decide(0.0)}
     assert len(ids) == 2
+
+
+@pytest.mark.parametrize("then", ["zone", "due"])
+def test_reservation_ends_with_a_lost_worker(then):
+    """A worker that is lost takes its reservation along."""
+    host = full_of_borrowers()
+    big = host.submit("guest", 8, 1)
+    host.now += 60.0
+    host.settle()
+    held = host.scheduler.reservations[big.id]
+    name = next(iter(held.places))
+    zone = host.scheduler.cluster.workers[name].zone
+    host.lose(name)
+    if then == "zone":
+        host.toggle_zone(zone)
+    else:
+        host.now = held.due + 1.0
+    host.settle()
+    assert name not in host.scheduler.cluster.workers
