Keep the digest of bodies in one place

Cause: entry and agent each had the same function (found by duplicates). Ruled out: importing the agent from the entry, against the direction of imports. Behaviour is unchanged; 78 tests of the touched parts pass.

--- a/packages/agent/src/samphiredeal/agent/requests.py
+++ b/packages/agent/src/samphiredeal/agent/requests.py
@@ -4,14 +4,13 @@
 before it starts. A refused dispatch never runs, also if it arrives again.
 """
 
-import hashlib
-
 from eliot import log_message
 from twisted.internet.defer import ensureDeferred
 
 from samphiredeal.agent import memory
 from samphiredeal.agent.shares import SlotShares
 from samphiredeal.model import verdict
+from samphiredeal.wire.digest import digest
 from samphiredeal.wire.messages import (
     Answer,
     DispatchAck,
@@ -22,11 +21,6 @@
 OTHER_INCARNATION = "other-incarnation"
 
 
-def digest(body):
-    """Return the digest by which a body is checked to be whole."""
-    return hashlib.blake2b(body, digest_size=16).digest()
-
-
 class NeverSent(Exception):
     """The upstream could not be reached, so the request did not run."""
 
--- a/packages/agent/tests/test_requests.py
+++ b/packages/agent/tests/test_requests.py
@@ -10,8 +10,9 @@
 
 from samphiredeal.agent.memory import DispatchMemory
 from samphiredeal.agent.permits import PermitBook
-from samphiredeal.agent.requests import RequestSide, digest
+from samphiredeal.agent.requests import RequestSide
 from samphiredeal.model import verdict
+from samphiredeal.wire.digest import digest
 from samphiredeal.wire.messages import Dispatch, Query
 
 
--- a/packages/entry/src/samphiredeal/entry/dispatches.py
+++ b/packages/entry/src/samphiredeal/entry/dispatches.py
@@ -4,12 +4,12 @@
 which attaches it to the running one. It is lost once the agent is.
 """
 
-import hashlib
 from typing import NamedTuple
 
 from twisted.internet.defer import Deferred
 
 from samphiredeal.model.verdict import UPSTREAM_LOST, Reason
+from samphiredeal.wire.digest import digest
 from samphiredeal.wire.messages import AnswerAck
 
 
@@ -31,11 +31,6 @@
         self.ended = Deferred()
 
 
-def digest(body):
-    """Return the digest by which a body is checked to be whole."""
-    return hashlib.blake2b(body, digest_size=16).digest()
-
-
 class Dispatches:
     """The dispatches of this entry by id."""
 
--- a/packages/entry/src/samphiredeal/entry/requests.py
+++ b/packages/entry/src/samphiredeal/entry/requests.py
@@ -7,12 +7,13 @@
 from twisted.internet.task import deferLater
 
 from samphiredeal.entry import claims as claim_rows
-from samphiredeal.entry.dispatches import Lost, digest
+from samphiredeal.entry.dispatches import Lost
 from samphiredeal.entry.routing import RetryBudget, Ticket
 from samphiredeal.model import verdict
 from samphiredeal.model.timing import START_MAX_STALENESS_S
 from samphiredeal.model.verdict import Outcome, Reason
 from samphiredeal.platform.table import Unavailable
+from samphiredeal.wire.digest import digest
 from samphiredeal.wire.messages import (
     Answer,
     AnswerAck,
--- /dev/null
+++ b/packages/wire/src/samphiredeal/wire/digest.py
@@ -0,0 +1,10 @@
+"""The digest by which a body is checked to be whole."""
+
+import hashlib
+
+_DIGEST_BYTES = 16
+
+
+def digest(body):
+    """Return the digest of a body."""
+    return hashlib.blake2b(body, digest_size=_DIGEST_BYTES).digest()
--- a/tests/test_whole_answer.py
+++ b/tests/test_whole_answer.py
@@ -8,9 +8,10 @@
 from builders import make_world
 from invariants import check_requests
 
-from samphiredeal.entry.dispatches import Dispatches, digest
+from samphiredeal.entry.dispatches import Dispatches
 from samphiredeal.model import verdict
 from samphiredeal.wire import codec
+from samphiredeal.wire.digest import digest
 from samphiredeal.wire.messages import Answer
 
 
