Judge standing still by looks at the worker; bound what urgent work displaces

Progress now counts only new looks, and displacement beyond a guarantee may throw away three times the unit's own work. A silent store is refused at once or settled within 1.2 s.

--- a/packages/agent/src/samphiredeal/agent/graphs/keeper.py
+++ b/packages/agent/src/samphiredeal/agent/graphs/keeper.py
@@ -59,7 +59,8 @@
         self._sequence = -1
         self._worker_clock = None
         self._look = None
-        self._looked_at = float("-inf")
+        self._looks = 0
+        self._looked_at = clock.seconds()
         self._ends_recorded = 0
         self._ended_life = ""
         self._dead_signs = 0
@@ -96,6 +97,8 @@
             known,
             self._orders_seen,
             self._ended_life,
+            self._looks,
+            int((self._clock.seconds() - self._looked_at) * 1000),
             running + fresh,
             ended,
             tuple(Refused(*run, reason) for run, reason in self._refused.items()),
@@ -332,7 +335,8 @@
             self._on_change()
             return
         self._worker_clock = (look.clock_ms, self._clock.seconds())
-        self._look, self._looked_at = look, began_at
+        self._look, self._looked_at = look, self._clock.seconds()
+        self._looks += 1
         self._settle(began_at)
         self._on_change()
 
--- a/packages/entry/src/samphiredeal/entry/graphs/intake.py
+++ b/packages/entry/src/samphiredeal/entry/graphs/intake.py
@@ -5,6 +5,7 @@
 """
 
 from eliot import log_message
+from twisted.internet.defer import Deferred
 from twisted.internet.task import deferLater
 
 from samphiredeal.entry.graphs import work
@@ -28,8 +29,11 @@
 # How long a write that the store refuses is tried again before the caller is
 # told to come back: a passing shortage, not an outage.
 _REFUSED_WRITE_S = 0.6
-# How long a write without an answer is settled before the caller is told.
-_UNSETTLED_WRITE_S = 2.2
+# How long a write without an answer is settled before the caller is told: most
+# callers wait 3 s, and one that is told by half of that can try elsewhere.
+_UNSETTLED_WRITE_S = 1.2
+# Without a sign of the store for this long, nothing is written at all.
+STORE_SILENT_S = 1.7
 _RETRY_PAUSE_S = 0.15
 # Time kept for the way of the answer back to the caller.
 _ANSWER_SLACK_S = 0.15
@@ -40,13 +44,14 @@
 class Intake:
     """Answers calls from the rows in memory and writes to the store."""
 
-    def __init__(self, clock, wall, table, operations, config_age_s, view):
+    def __init__(self, clock, wall, table, operations, config_age_s, view, store_age_s):
         self._clock = clock
         self._wall = wall
         self._table = table
         self._operations = operations
         self._config_age_s = config_age_s
         self._view = view
+        self._store_age_s = store_age_s
         self._in_flight = 0
 
     @property
@@ -166,17 +171,23 @@
         Returns the store's answer; its `not_applied` is true only if no try
         can have been applied.
         """
+        age_s = self._store_age_s()
+        if age_s > STORE_SILENT_S:
+            return Unavailable(f"silent for {age_s:.1f} s", not_applied=True)
         began_at = self._clock.seconds()
-        patience_s = max(0.0, call.wait_s - _ANSWER_SLACK_S)
+        patience_s = min(max(0.0, call.wait_s - _ANSWER_SLACK_S), _UNSETTLED_WRITE_S)
         certain = True
         while True:
-            answer = await self._table.write(conditions, puts)
+            spent_s = self._clock.seconds() - began_at
+            answer = await within(
+                self._clock, patience_s - spent_s, self._table.write(conditions, puts)
+            )
             if not isinstance(answer, Unavailable):
                 return answer
             certain = certain and answer.not_applied
-            limit_s = _REFUSED_WRITE_S if certain else _UNSETTLED_WRITE_S
-            spent_s = self._clock.seconds() - began_at + _RETRY_PAUSE_S
-            if spent_s >= min(limit_s, patience_s):
+            limit_s = min(_REFUSED_WRITE_S if certain else patience_s, patience_s)
+            spent_s = self._clock.seconds() - began_at
+            if spent_s + _RETRY_PAUSE_S >= limit_s:
                 return answer._replace(not_applied=certain)
             await deferLater(self._clock, _RETRY_PAUSE_S)
 
@@ -195,6 +206,26 @@
         )
 
 
+def within(clock, seconds, answer):
+    """Return a Deferred of a store's answer, or of `Unavailable` after a time.
+
+    The call itself goes on: a write may still be applied.
+    """
+    first = Deferred()
+
+    def deliver(value):
+        if not first.called:
+            timer.cancel()
+            first.callback(value)
+
+    def give_up():
+        first.callback(Unavailable(f"no answer within {seconds:.1f} s"))
+
+    timer = clock.callLater(max(0.0, seconds), give_up)
+    answer.addCallback(deliver)
+    return first
+
+
 def _not_done(reason):
     return JobAnswer(answers.NOT_DONE, reason=reason, retry_after_s=_RETRY_AFTER_S)
 
--- a/packages/entry/src/samphiredeal/entry/graphs/node.py
+++ b/packages/entry/src/samphiredeal/entry/graphs/node.py
@@ -85,6 +85,7 @@
             self._operations,
             lambda: self._operator_rows.age_s,
             self._view,
+            lambda: self._work_rows.age_s,
         )
         self._context = HostContext(
             clock,
--- a/packages/platform/src/samphiredeal/platform/client.py
+++ b/packages/platform/src/samphiredeal/platform/client.py
@@ -34,8 +34,10 @@
     Unavailable,
 )
 
-# A store that is slowed sixtyfold answers in 0.3 s; past this it is silent.
+# A store that is slowed ninetyfold answers in 0.5 s; past this it is silent.
 CALL_TIMEOUT_S = 1.5
+# The same beyond the time for which a call for changes may wait at the store.
+_CHANGES_TIMEOUT_S = 0.8
 MAX_IN_FLIGHT = 64
 MAX_CALLS_PER_S = 400
 _MAX_CONNECTIONS = 16
@@ -207,7 +209,7 @@
             f"&wait-ms={int(wait_s * 1000)}"
         )
         answer = await self._platform.call(
-            b"GET", path.encode(), timeout_s=wait_s + CALL_TIMEOUT_S
+            b"GET", path.encode(), timeout_s=wait_s + _CHANGES_TIMEOUT_S
         )
         body = _body(answer, (200, 410))
         if isinstance(body, Unavailable):
--- a/packages/platform/src/samphiredeal/platform/executor.py
+++ b/packages/platform/src/samphiredeal/platform/executor.py
@@ -7,9 +7,10 @@
 from samphiredeal.model import runs
 from samphiredeal.model.runs import Ended, Refused, Running, WorkerFacts
 from samphiredeal.model.shape import Shape
-from samphiredeal.platform.client import CALL_TIMEOUT_S
 from samphiredeal.platform.table import Unavailable
 
+# A worker on the same VM that has not answered by then has lost the call.
+_LOOK_TIMEOUT_S = 0.5
 # How the worker names what ended a run and why it refused one.
 _HOW = {
     "done": runs.DONE,
@@ -99,7 +100,7 @@
         }
         if deadline_ms is not None:
             body["deadline-ms"] = deadline_ms
-        answer = await self._post(b"/api/hold", body, wait_s + CALL_TIMEOUT_S)
+        answer = await self._post(b"/api/hold", body, wait_s + _LOOK_TIMEOUT_S)
         if isinstance(answer, Unavailable):
             return answer
         status, fields = answer
--- a/packages/policy/src/samphiredeal/policy/graphs/health.py
+++ b/packages/policy/src/samphiredeal/policy/graphs/health.py
@@ -8,6 +8,8 @@
 # A run without progress for this long, relative to the time that one percent of
 # it should take, stands still.
 STALL_MIN_S = 1.5
+# So many looks without progress show that it is not the look that is missing.
+_STALL_LOOKS = 3
 _STALL_PERCENTS = 8
 _STALL_MEMORY_S = 6.0
 
@@ -58,10 +60,13 @@
     return 0.4 if len(jobs) == 1 else 1.0
 
 
-def stands_still(placement, now):
-    """Return whether a run should have shown progress by now but has not."""
+def stands_still(placement):
+    """Return whether a run was looked at often enough and shows no progress."""
     unit = placement.unit
     if placement.running_since is None or unit.spec.lasting or placement.percent >= 99:
         return False
+    if placement.still_looks < _STALL_LOOKS:
+        return False
     expected_s = unit.estimate_s * _STALL_PERCENTS / 100
-    return now - placement.percent_at > max(STALL_MIN_S, expected_s)
+    still_s = placement.seen_at - placement.percent_at
+    return still_s > max(STALL_MIN_S, expected_s)
--- a/packages/policy/src/samphiredeal/policy/graphs/reclaim.py
+++ b/packages/policy/src/samphiredeal/policy/graphs/reclaim.py
@@ -15,10 +15,19 @@
 _URGENT_COST = 10.0
 
 
+def _cores(unit):
+    """Return what one member takes, in cores."""
+    shape = unit.spec.shape
+    return shape.cpu_milli / 1000 + shape.accelerators * _ACCELERATOR_CORES
+
+
+def own_work(unit):
+    """Return the core-seconds that a unit is said to take."""
+    return _cores(unit) * unit.count * unit.estimate_s
+
+
 def lost_work(unit, now):
     """Return the core-seconds that stopping a unit now throws away."""
-    shape = unit.spec.shape
-    cores = shape.cpu_milli / 1000 + shape.accelerators * _ACCELERATOR_CORES
     total_s = 0.0
     for placement in unit.placements.values():
         if placement.running_since is None:
@@ -27,11 +36,11 @@
         if unit.spec.checkpointing:
             worked_s = min(worked_s, _RESUME_COST_S)
         total_s += worked_s
-    return cores * total_s
+    return _cores(unit) * total_s
 
 
 def find(state, unit, workers, may_displace, now):
-    """Return (places, victims) that let the whole unit start soon, or None.
+    """Return (cost, places, victims) that let the whole unit start soon, or None.
 
     `may_displace(victim)` says which units may be stopped. A unit that works
     best on one rack is given one rack, if any could hold it.
@@ -47,7 +56,7 @@
         found = _find_in(state, unit, group, may_displace, now)
         if found is not None and (best is None or found[0] < best[0]):
             best = found
-    return best and best[1:]
+    return best
 
 
 def _find_in(state, unit, workers, may_displace, now):
--- a/packages/policy/src/samphiredeal/policy/graphs/reports.py
+++ b/packages/policy/src/samphiredeal/policy/graphs/reports.py
@@ -24,9 +24,14 @@
     notes = []
     _update_facts(worker, report, now, notes)
     listed = set()
+    looked_at = now - report.look_age_ms / 1000
+    new_look = report.looks != worker.looks
+    worker.looks = report.looks
     for running in report.running:
         listed.add(RunId(running.task, running.run))
-        _absorb_running(state, worker, running, now)
+        placement = _absorb_running(state, worker, running, now)
+        if placement is not None and new_look:
+            _note_progress(placement, running.percent, looked_at)
     for ended in report.ended:
         listed.add(RunId(ended.task, ended.run))
         _absorb_end(state, worker, ended, now, notes)
@@ -42,7 +47,6 @@
 
 
 def _update_facts(worker, report, now, notes):
-    worker.reported_at = now
     worker.reachable = report.worker is not None
     facts = report.worker
     for placement in list(worker.placements.values()):
@@ -86,12 +90,9 @@
     if placement is None:
         placement = _adopt(state, worker, running.task, running.run, now)
         if placement is None:
-            return
+            return None
     mark_listed(placement, now)
     unit = placement.unit
-    if running.percent != placement.percent:
-        placement.percent = running.percent
-        placement.percent_at = now
     if running.checkpoint:
         unit.checkpoint = running.checkpoint
     job = unit.job
@@ -99,6 +100,18 @@
         job.begun = True
         job.state = ACTIVE if job.state == QUEUED else job.state
         job.dirty = True
+    return placement
+
+
+def _note_progress(placement, percent, looked_at):
+    """Note what a new look at the worker says of a run's progress."""
+    placement.seen_at = looked_at
+    if percent != placement.percent:
+        placement.percent = percent
+        placement.percent_at = looked_at
+        placement.still_looks = 0
+    else:
+        placement.still_looks += 1
 
 
 def _adopt(state, worker, task, run, now):
--- a/packages/policy/src/samphiredeal/policy/graphs/scheduler.py
+++ b/packages/policy/src/samphiredeal/policy/graphs/scheduler.py
@@ -32,6 +32,9 @@
 _STOP_AGAIN_S = 0.5
 # Runs this close to their end are not moved aside.
 _NEARLY_DONE_PERCENT = 90
+# Urgent work beyond a guarantee may throw away at most this many times its own
+# work. An urgent job in time is worth about this much more than one that is late.
+_URGENT_WORTH = 3.0
 
 
 class Note(NamedTuple):
@@ -189,7 +192,7 @@
         if unit.done:
             overdue = now - (unit.done_at or now) > _LINGER_S
             return "its gang is done" if overdue else ""
-        if health.stands_still(placement, now):
+        if health.stands_still(placement):
             worker = self.workers[placement.worker]
             health.note_stall(worker, now)
             if self._has_other_place(unit, worker):
@@ -367,7 +370,10 @@
         found = reclaim.find(self, unit, workers, may_displace, now)
         if found is None:
             return
-        unit.claim, victims = found
+        cost, places, victims = found
+        if not covered and cost > _URGENT_WORTH * reclaim.own_work(unit):
+            return
+        unit.claim = places
         for victim in victims:
             self._stop(victim, f"its room is reclaimed for job {unit.job.id}")
 
--- a/packages/policy/src/samphiredeal/policy/graphs/state.py
+++ b/packages/policy/src/samphiredeal/policy/graphs/state.py
@@ -33,10 +33,11 @@
         "placed_at",
         "run",
         "running_since",
+        "seen_at",
         "sent_at",
         "shape",
         "status",
-        "stop_number",
+        "still_looks",
         "stop_sent_at",
         "stopping",
         "unit",
@@ -58,9 +59,11 @@
         self.running_since = None
         self.percent = 0
         self.percent_at = now
+        # When the percentage was last looked at, and how often unchanged.
+        self.seen_at = now
+        self.still_looks = 0
         self.stopping = ""
         self.stop_sent_at = None
-        self.stop_number = None
 
     @property
     def task(self):
@@ -246,7 +249,7 @@
         self.labels = ()
         self.leaving = False
         self.leaves_at = None
-        self.reported_at = None
+        self.looks = 0
         self.reachable = False
         self.placements = {}
         self.foreign_runs = frozenset()
