Prove the whole path in memory; see a missing beat in time; complete after a takeover

A world of real entries and agents over in-memory twins of the store and of workers, with fourteen faults. It failed first on two faults of the code: a follower idle for its whole wait looked stale, so a dead scheduler was replaced after 9 s instead of 2.4 s (freshness now fits the wait, 0.5 s), and a job whose last end arrived before the first plan of a new term was never shown as completed. Looks at a worker with unrecorded ends no longer spin. Refused callers are told to come back after about as long as the outage lasts.

--- a/packages/agent/src/samphiredeal/agent/graphs/keeper.py
+++ b/packages/agent/src/samphiredeal/agent/graphs/keeper.py
@@ -28,6 +28,9 @@
 # Connections refused in a row that show that the worker's process is gone.
 _REFUSALS_OF_DEAD = 2
 _MARGIN_S = 0.1
+# Pauses between looks: the first keeps ends that come together in one report.
+_ENDS_PAUSE_S = 0.06
+_LOOK_PAUSE_S = 0.01
 
 
 class _Start:
@@ -299,7 +302,8 @@
             return 0
         if isinstance(answer, Look):
             self._take_look(answer, began_at)
-            return 0
+            # Ends that wait to be recorded are answered at once each time.
+            return _ENDS_PAUSE_S if answer.ended else _LOOK_PAUSE_S
         self._no_look(answer, facts)
         return _RETRY_S
 
--- a/packages/entry/src/samphiredeal/entry/graphs/intake.py
+++ b/packages/entry/src/samphiredeal/entry/graphs/intake.py
@@ -37,8 +37,10 @@
 _RETRY_PAUSE_S = 0.15
 # Time kept for the way of the answer back to the caller.
 _ANSWER_SLACK_S = 0.15
-# A refused caller comes back when a short outage is likely over, spread out.
-_RETRY_AFTER_S = 1.0
+# A refused caller comes back after about as long as the outage has lasted: short
+# ones cost little, and its few tries last through a long one.
+_RETRY_AFTER_MIN_S = 1.0
+_RETRY_AFTER_MAX_S = 4.0
 
 
 class Intake:
@@ -80,7 +82,7 @@
         age_s = self._config_age_s()
         if age_s > CONFIGURATION_MAX_AGE_S:
             reason = f"the configuration was last confirmed {age_s:.1f} s ago"
-            return None, "", _not_done(reason)
+            return None, "", _not_done(reason, age_s)
         queue = directory.queue_for(call.host, call.path)
         if queue is None:
             return None, "", JobAnswer(answers.NO_QUEUE, reason="no such queue")
@@ -130,7 +132,7 @@
         )
         if isinstance(answer, Committed | Conflict):
             return JobAnswer(answers.ACCEPTED)
-        return _store_refusal(answer)
+        return self._store_refusal(answer)
 
     async def _cancel(self, call, job_id):
         known = await self._known(job_id)
@@ -142,7 +144,7 @@
         answer = await self._write(call, [Condition(key, 0)], [Put(key, b"{}")])
         if isinstance(answer, Committed | Conflict):
             return JobAnswer(answers.CANCELLED)
-        return _store_refusal(answer)
+        return self._store_refusal(answer)
 
     async def _look(self, job_id):
         known = await self._known(job_id)
@@ -191,6 +193,14 @@
                 return answer._replace(not_applied=certain)
             await deferLater(self._clock, _RETRY_PAUSE_S)
 
+    def _store_refusal(self, answer):
+        """Return the answer to a call whose write the store did not confirm."""
+        if answer.not_applied:
+            reason = f"the store refuses writes: {answer.reason}"
+            return _not_done(reason, self._store_age_s())
+        reason = f"the store gave no answer: {answer.reason}"
+        return JobAnswer(answers.UNSETTLED, reason=reason)
+
     def _log(self, call, answer, began_at):
         log_message(
             message_type="call_answered",
@@ -226,12 +236,7 @@
     return first
 
 
-def _not_done(reason):
-    return JobAnswer(answers.NOT_DONE, reason=reason, retry_after_s=_RETRY_AFTER_S)
-
-
-def _store_refusal(answer):
-    if answer.not_applied:
-        return _not_done(f"the store refuses writes: {answer.reason}")
-    reason = f"the store gave no answer: {answer.reason}"
-    return JobAnswer(answers.UNSETTLED, reason=reason)
+def _not_done(reason, outage_s=0.0):
+    """Return a refusal that tells when to come back."""
+    wait_s = min(max(outage_s, _RETRY_AFTER_MIN_S), _RETRY_AFTER_MAX_S)
+    return JobAnswer(answers.NOT_DONE, reason=reason, retry_after_s=wait_s)
--- a/packages/entry/src/samphiredeal/entry/graphs/leadership.py
+++ b/packages/entry/src/samphiredeal/entry/graphs/leadership.py
@@ -22,8 +22,11 @@
 # A scheduler without a beat for this long is replaced. Three beats, and below
 # the 2.7 s in which urgent work must begin together with a start.
 TAKEOVER_AFTER_S = 2.1
-# Knowledge of the rows older than this proves nothing about a missing beat.
-_FRESH_S = 1.6
+# Of that time the rows must be known to have had no beat for this long.
+_SILENCE_SEEN_S = 1.4
+# Rows that were not confirmed for this long are not followed at all: twice the
+# wait of a call for changes, and the time of a slow store.
+_FRESH_S = 2.0
 # Entries that see the same gap try at different moments.
 _STAGGER_S = 0.25
 # For how long after its last beat a scheduler may still vouch for workers.
@@ -127,20 +130,28 @@
 
     async def _watch(self):
         now = self._clock.seconds()
-        if self._age_s() > _FRESH_S:
+        age_s = self._age_s()
+        if age_s > _FRESH_S:
             self._silent_since = now
             return
         view = self._view
         if not (view.epoch.version and view.beat.value.resigned):
             self._silent_since = max(self._silent_since, view.beat_seen_at)
-            silent_s = now - self._silent_since
-            first = view.epoch.version == 0
-            if silent_s < (0 if first else TAKEOVER_AFTER_S) + self._stagger_s:
+            if not self._is_silent(now, age_s):
                 return
         await self._take_over(now)
 
+    def _is_silent(self, now, age_s):
+        """Return whether the scheduler has been silent for long enough."""
+        silent_s = now - self._silent_since
+        if self._view.epoch.version == 0:
+            return silent_s >= self._stagger_s
+        long_enough = silent_s >= TAKEOVER_AFTER_S + self._stagger_s
+        return long_enough and silent_s - age_s >= _SILENCE_SEEN_S
+
     async def _take_over(self, now):
         before = self._view.epoch
+        beat_age_s = now - self._view.beat_seen_at
         nonce = f"{self._random.getrandbits(64):016x}"
         epoch = work.EpochRecord(before.value.number + 1, self._name, nonce)
         data = msgspec.json.encode(epoch)
@@ -166,7 +177,7 @@
             message_type="scheduler_took_over",
             epoch=epoch.number,
             before=before.value.holder,
-            beat_age_s=round(now - self._view.beat_seen_at, 3),
+            beat_age_s=round(beat_age_s, 3),
         )
         self._on_change()
 
--- a/packages/entry/src/samphiredeal/entry/graphs/node.py
+++ b/packages/entry/src/samphiredeal/entry/graphs/node.py
@@ -18,7 +18,7 @@
 # How long a call for changes waits at the store; also how often knowledge is
 # confirmed when nothing changes.
 _OPERATIONS_WAIT_S = 0.6
-_WORK_WAIT_S = 0.8
+_WORK_WAIT_S = 0.5
 # Changes in quick succession are taken in together; far below the 2 s in which
 # a configuration must be in force.
 _OPERATIONS_PAUSE_S = 0.1
--- a/packages/policy/src/samphiredeal/policy/graphs/scheduler.py
+++ b/packages/policy/src/samphiredeal/policy/graphs/scheduler.py
@@ -141,6 +141,8 @@
         for job in self.jobs.values():
             if job.active:
                 job.add_due_occurrences(wall_ms)
+                if not job.units:
+                    job.settle(now)
         self._stop_what_should_not_run(now)
         waiting = self._waiting_units(now)
         covered = self._covered_jobs()
--- /dev/null
+++ b/tests/graph_builders.py
@@ -0,0 +1,53 @@
+"""Builders of job graphs, records and workers."""
+
+from samphiredeal.model.graph import GraphSpec, JobRecord, StepSpec
+from samphiredeal.model.runs import Report, WorkerFacts
+from samphiredeal.model.shape import Shape
+from samphiredeal.policy.graphs.scheduler import GraphScheduler
+
+SERVICE = "desk"
+
+
+def make_step(count=1, accelerators=1, **fields):
+    """Return a step whose tasks take a core and a gigabyte per accelerator."""
+    size = max(1, accelerators)
+    shape = fields.pop("shape", Shape(1000 * size, 1000 * size, accelerators))
+    return StepSpec(count, shape, fields.pop("estimate_ms", 4000), **fields)
+
+
+def make_record(id="a1", steps=(), priority=1, **fields):
+    """Return an accepted job of the account ``acct``; one task by default."""
+    spec = fields.pop("spec", GraphSpec("payload", tuple(steps) or (make_step(),)))
+    defaults = {
+        "queue": "queue",
+        "service": SERVICE,
+        "account": "acct",
+        "max_attempts": 2,
+        "stretch": 3.0,
+        "target_latency_ms": 1000,
+        "accepted_ms": 0,
+    }
+    return JobRecord(id=id, priority=priority, spec=spec, **{**defaults, **fields})
+
+
+def make_facts(name="w", zone="a", rack="r1", accelerators=8, **fields):
+    """Return a worker with a core and a gigabyte per accelerator."""
+    capacity = Shape(1000 * accelerators, 1000 * accelerators, accelerators)
+    labels = fields.pop("labels", ("kind", rack))
+    born_ms = fields.pop("born_ms", 1)
+    return WorkerFacts(f"i-{name}", born_ms, SERVICE, zone, capacity, labels, **fields)
+
+
+def make_report(facts, **fields):
+    """Return a report of a worker that runs nothing unless told otherwise."""
+    fields.setdefault("orders_seen", 0)
+    return Report(facts, **fields)
+
+
+def make_scheduler(workers):
+    """Return a scheduler that has heard of these `WorkerFacts` by name."""
+    scheduler = GraphScheduler()
+    for name, facts in workers.items():
+        scheduler.add_worker(name, facts.zone)
+        scheduler.absorb(name, make_report(facts), 0.0)
+    return scheduler
--- /dev/null
+++ b/tests/graph_world.py
@@ -0,0 +1,290 @@
+"""Entries and agents on the platform's interfaces, in memory on a paused clock.
+
+Nodes are real; the store, the links and the workers are the in-memory twins.
+`Ledger` watches the workers and keeps what the promises are checked on.
+"""
+
+import random
+from typing import NamedTuple
+
+import msgspec
+from graph_builders import make_facts
+from twisted.internet.defer import ensureDeferred
+from twisted.internet.task import Clock
+from world import Network, NodeClock
+
+from samphiredeal.agent.graphs.node import GraphAgent, Rows
+from samphiredeal.entry.graphs import work
+from samphiredeal.entry.graphs.node import GraphEntry
+from samphiredeal.model import answers
+from samphiredeal.model.answers import Call
+from samphiredeal.model.graph import parse_task_name
+from samphiredeal.platform.memory import Faults, MemoryTable
+from samphiredeal.platform.memory_worker import Gangs, MemoryWorker, Work
+from samphiredeal.platform.settings import Bounds
+from samphiredeal.platform.table import Put
+
+STEP_S = 0.05
+HEARTBEAT_S = 1.5
+LEASE_S = 6.0
+BOUNDS = Bounds(2.0, 5.0, 2.0, 6.0, LEASE_S, 0.2, 3.0, 120.0, 3.0)
+HOST = "desk.example"
+KEY = "key-1"
+PREFIXES = {"/urgent/": 0, "/normal/": 1}
+
+
+class Event(NamedTuple):
+    """A start or an end on a worker, at a time in seconds."""
+
+    at: float
+    kind: str
+    worker: str
+    task: str
+    run: int
+    how: str
+
+
+class Ledger:
+    """All starts and ends, and the promises that they keep."""
+
+    def __init__(self, clock):
+        self._clock = clock
+        self.events = []
+
+    def watch(self, kind, worker, task, run, how):
+        name = worker.facts.id[2:]
+        self.events.append(Event(self._clock.seconds(), kind, name, task, run, how))
+
+    def starts(self, task=None):
+        """Return the starts of a task, or all."""
+        return [e for e in self.events if e.kind == "start" and task in (None, e.task)]
+
+    def overlaps(self):
+        """Return the starts of tasks that ran elsewhere at that time."""
+        running, wrong = {}, []
+        for event in self.events:
+            if event.kind == "start":
+                if running.get(event.task):
+                    wrong.append(event)
+                running.setdefault(event.task, set()).add((event.worker, event.run))
+            else:
+                running.get(event.task, set()).discard((event.worker, event.run))
+        return wrong
+
+    def over_capacity(self, shape_of, capacity):
+        """Return the starts that took a worker over its capacity."""
+        used, wrong = {}, []
+        for event in self.events:
+            shape = shape_of(event.task)
+            before = used.get(event.worker, shape.minus(shape))
+            if event.kind == "start":
+                used[event.worker] = before.plus(shape)
+                if not used[event.worker].fits(capacity):
+                    wrong.append(event)
+            else:
+                used[event.worker] = before.minus(shape)
+        return wrong
+
+
+class Node:
+    """A process: its clock, its view of the store and its links."""
+
+    def __init__(self, name, clock):
+        self.name = name
+        self.clock = clock
+        self.faults = Faults()
+        self.process = None
+        self.links = []
+
+
+class GraphWorld:
+    """A system of entries and workers; see `make_graph_world`."""
+
+    def __init__(self, seed=0):
+        self.clock = Clock()
+        self.random = random.Random(seed)
+        self.network = Network(self.clock, self.random)
+        self.table = MemoryTable(self.clock)
+        self.operator_table = MemoryTable(self.clock)
+        self.ledger = Ledger(self.clock)
+        self.gangs = Gangs()
+        self.nodes = {}
+        self.workers = {}
+        self.specs = {}
+        self.work_of = {}
+        self.version = 0
+        self.queues = {}
+
+    # Building
+
+    def add_entry(self, name):
+        node = self._node(name)
+        node.process = GraphEntry(
+            node.clock,
+            name,
+            self.table.view(node.clock, node.faults),
+            self.operator_table.view(node.clock, node.faults),
+            lambda address: self.network.connect(node, address),
+            BOUNDS,
+            self.clock.seconds,
+            random.Random(self.random.random()),
+        )
+        node.process.start()
+        return node.process
+
+    def add_worker(self, name, zone="a", rack="r1", accelerators=8):
+        self.workers[name] = MemoryWorker(
+            self.clock,
+            make_facts(name, zone, rack, accelerators),
+            self._describe,
+            self.gangs,
+            LEASE_S,
+            self.ledger.watch,
+        )
+        self.add_agent(name)
+        self._beat(name, 0)
+
+    def add_agent(self, name):
+        node = self._node(name)
+        worker = self.workers[name]
+        record = work.WorkerRecord(name, worker.facts.zone)
+        node.process = GraphAgent(
+            node.clock,
+            name,
+            worker,
+            self.table.view(node.clock, node.faults),
+            Rows(
+                work.worker_key(name),
+                msgspec.json.encode(record),
+                work.evicted_key(name),
+            ),
+            LEASE_S,
+        )
+
+        def accept(link):
+            node.links.append(link)
+            node.process.accept(link)
+
+        self.network.listen(name, node, accept)
+        node.process.start()
+
+    def _node(self, name):
+        node = self.nodes[name] = Node(name, NodeClock(self.clock))
+        return node
+
+    def _beat(self, name, sequence):
+        worker, node = self.workers[name], self.nodes[name]
+        if not worker.faults.gone:
+            node.clock.run(node.process.keeper.heartbeat, worker.facts, sequence)
+        self.clock.callLater(HEARTBEAT_S, self._beat, name, sequence + 1)
+
+    def _describe(self, task):
+        name = parse_task_name(task)
+        if task in self.work_of:
+            return self.work_of[task]
+        step = self.specs[name.job]["steps"][name.step]
+        gang = f"{name.job}.{name.occurrence}.{name.step}" if step.get("gang") else ""
+        return Work(
+            step.get("estimated-ms", 1000) / 1000,
+            gang=gang,
+            members=step["count"],
+            checkpoint_every_s=1.0 if step.get("checkpointing") else 0.0,
+        )
+
+    # The operator and callers
+
+    def configure(self, guaranteed=0, keys=(KEY,), prefixes=PREFIXES):
+        """Write the next version of the configuration."""
+        self.version += 1
+        routes = [
+            {
+                "name": prefix.strip("/"),
+                "host": HOST,
+                "path-prefix": prefix,
+                "service": "desk",
+                "priority": priority,
+                "max-attempts": 2,
+                "stretch": 3.0,
+                "target-latency-ms": 1000,
+            }
+            for prefix, priority in prefixes.items()
+        ]
+        tenant = {"name": "acct", "api-keys": list(keys)}
+        tenant["guaranteed"] = {"gpu": guaranteed}
+        document = {"version": self.version, "routes": routes, "tenants": [tenant]}
+        value = msgspec.json.encode(document)
+        self.operator_table.write([], [Put("config", value)])
+
+    def take_zone_out(self, zone):
+        self.operator_table.write([], [Put(f"evacuate/{zone}", b"{}")])
+
+    def call(self, entry, verb, path, body=b"", key=KEY, wait_s=3.0):
+        """Begin a call; return a list that gets the answer."""
+        got = []
+        call = Call(verb, HOST, path, key, wait_s, body)
+        node = self.nodes[entry]
+        deferred = ensureDeferred(node.process.intake.answer(call))
+        deferred.addCallback(got.append)
+        return got
+
+    def submit(self, entry, job_id, steps, prefix="/normal/", **fields):
+        """Hand a job in and return the answer."""
+        document = {"spec": "payload", "steps": steps, **fields}
+        self.specs.setdefault(job_id, document)
+        body = msgspec.json.encode(document)
+        return self.settle(self.call(entry, answers.SUBMIT, prefix + job_id, body))
+
+    def state(self, entry, job_id, prefix="/normal/"):
+        answer = self.settle(self.call(entry, answers.LOOK, prefix + job_id))
+        return answer.state or answer.kind
+
+    def settle(self, got):
+        self.run_until(lambda: got, 5.0)
+        return got[0]
+
+    # Time and faults
+
+    def run(self, seconds):
+        end = self.clock.seconds() + seconds
+        while self.clock.seconds() < end - 1e-9:
+            self.clock.advance(min(STEP_S, end - self.clock.seconds()))
+
+    def run_until(self, condition, seconds):
+        """Run until a condition holds; fail if it does not in time."""
+        end = self.clock.seconds() + seconds
+        while not condition():
+            assert self.clock.seconds() < end, f"not within {seconds} s"
+            self.clock.advance(0.01)
+
+    def scheduler(self):
+        """Return the name of the entry that schedules, or None."""
+        for name, node in self.nodes.items():
+            alive = not node.clock.dead and not node.clock.frozen
+            if alive and getattr(node.process, "dispatcher", None) is not None:
+                return name
+        return None
+
+    def kill(self, name):
+        """End a process without notice."""
+        node = self.nodes[name]
+        node.clock.kill()
+        for one in self.nodes.values():
+            for link in getattr(one, "links", ()):
+                if link.peer_name == name or one is node:
+                    link.close()
+
+    def cut_store(self, name, down=True):
+        self.nodes[name].faults.down = down
+
+
+def make_graph_world(entries=3, workers=4, guaranteed=0, seed=0):
+    """Return a settled world: entries e0.., workers w0.. over racks and zones."""
+    world = GraphWorld(seed)
+    world.configure(guaranteed)
+    for number in range(entries):
+        world.add_entry(f"e{number}")
+    for number in range(workers):
+        world.add_worker(f"w{number}", "ab"[number % 2], f"r{number // 2}")
+    world.run_until(world.scheduler, 3.0)
+    world.run(2.0)
+    return world
--- /dev/null
+++ b/tests/test_graph_path.py
@@ -0,0 +1,237 @@
+"""Job graphs through entries and agents in memory, with and without faults.
+
+Proves: accepted jobs run once and complete, gangs start whole, cancels hold,
+nothing runs twice at a time and no worker is overfilled while schedulers,
+agents, workers and the store fail.
+"""
+
+import pytest
+from graph_world import LEASE_S, make_graph_world
+
+from samphiredeal.model import answers
+from samphiredeal.model.shape import Shape
+
+STEP = {"count": 2, "cpu": 1000, "mem-mb": 1000, "gpu": 1, "estimated-ms": 1000}
+LONG = {**STEP, "estimated-ms": 8000}
+GANG = {**LONG, "count": 3, "gang": True, "gpu": 2, "cpu": 2000, "mem-mb": 2000}
+
+
+def check(world):
+    """Check what must hold on every run."""
+    assert world.ledger.overlaps() == []
+
+    def shape_of(task):
+        step = world.specs[task.split(".")[0]]["steps"][int(task.split(".")[2])]
+        return Shape(step["cpu"], step["mem-mb"], step["gpu"])
+
+    assert world.ledger.over_capacity(shape_of, Shape(8000, 8000, 8)) == []
+
+
+def test_steps_run_in_order_and_complete():
+    world = make_graph_world()
+    job = [STEP, {**STEP, "after": [0]}]
+    assert world.submit("e0", "a1", job).kind == answers.ACCEPTED
+    world.run(4.0)
+    assert world.state("e1", "a1") == "completed"
+    first = [e for e in world.ledger.events if e.kind == "end" and ".0.0." in e.task]
+    second = [e for e in world.ledger.starts() if ".0.1." in e.task]
+    assert max(e.at for e in first) <= min(e.at for e in second)
+    check(world)
+
+
+def test_repeat_of_an_accepted_job_is_one_job():
+    world = make_graph_world()
+    world.submit("e0", "a1", [STEP])
+    world.run(3.0)
+    assert world.submit("e2", "a1", [STEP]).kind == answers.ACCEPTED
+    world.run(3.0)
+    assert len(world.ledger.starts()) == 2
+
+
+def test_cancelled_job_stops_and_starts_nothing_more():
+    world = make_graph_world()
+    world.submit("e0", "a1", [LONG])
+    world.run(1.0)
+    path = "/normal/a1"
+    answer = world.settle(world.call("e1", answers.CANCEL, path))
+    assert answer.kind == answers.CANCELLED
+    world.run(3.0)
+    assert world.state("e2", "a1") == "cancelled"
+    assert all(not worker.running for worker in world.workers.values())
+    assert len(world.ledger.starts()) == 2
+
+
+def test_unknown_queue_key_and_job():
+    world = make_graph_world()
+    calls = [
+        (world.call("e0", answers.LOOK, "/none/a1"), answers.NO_QUEUE),
+        (world.call("e0", answers.LOOK, "/normal/a1", key="x"), answers.UNKNOWN_KEY),
+        (world.call("e0", answers.LOOK, "/normal/a1"), answers.NO_JOB),
+        (world.call("e0", answers.LOOK, "/normal/%%"), answers.MALFORMED),
+    ]
+    for got, kind in calls:
+        assert world.settle(got).kind == kind
+
+
+def test_revoked_key_is_refused_within_the_bound():
+    world = make_graph_world()
+    world.configure(keys=("other",))
+    world.run(1.0)
+    got = world.call("e0", answers.LOOK, "/normal/a1")
+    assert world.settle(got).kind == answers.UNKNOWN_KEY
+
+
+def test_zone_that_is_out_gets_nothing():
+    world = make_graph_world()
+    world.take_zone_out("a")
+    world.run(1.0)
+    world.submit("e0", "a1", [{**STEP, "count": 8}])
+    world.run(4.0)
+    assert {e.worker for e in world.ledger.starts()} <= {"w1", "w3"}
+
+
+# Faults: each is a function of a world in which a gang and tasks run.
+
+
+def kill_scheduler(world):
+    world.kill(world.scheduler())
+
+
+def freeze_scheduler(world):
+    clock = world.nodes[world.scheduler()].clock
+    clock.freeze()
+    world.clock.callLater(4.0, clock.thaw)
+
+
+def cut_scheduler_from_store(world):
+    name = world.scheduler()
+    world.cut_store(name)
+    world.clock.callLater(6.0, world.cut_store, name, False)
+
+
+def store_down(world):
+    for name in world.nodes:
+        world.cut_store(name)
+        world.clock.callLater(4.5, world.cut_store, name, False)
+
+
+def lose_store_answers(world):
+    for node in world.nodes.values():
+        node.faults.lose_answers = 3
+
+
+def history_dropped(world):
+    world.table.forget_history()
+    world.operator_table.forget_history()
+
+
+def cut_worker_off(world):
+    for name in list(world.nodes):
+        world.network.cut("w0", name)
+    world.cut_store("w0")
+    world.clock.callLater(9.0, world.network.heal)
+    world.clock.callLater(9.0, world.cut_store, "w0", False)
+
+
+def cut_worker_one_way(world):
+    for name in list(world.nodes):
+        world.network.cut("w0", name, both=False)
+    world.clock.callLater(5.0, world.network.heal)
+
+
+def restart_agents(world):
+    for name in world.workers:
+        world.kill(name)
+        world.clock.callLater(1.0, world.add_agent, name)
+
+
+def freeze_agent(world):
+    clock = world.nodes["w0"].clock
+    clock.freeze()
+    world.clock.callLater(4.0, clock.thaw)
+
+
+def crash_worker(world):
+    world.workers["w0"].crash()
+
+
+def kill_all_entries(world):
+    names = [name for name in world.nodes if name.startswith("e")]
+    for name in names:
+        world.kill(name)
+        world.clock.callLater(7.0, world.add_entry, name)
+
+
+def lose_worker_answers(world):
+    for worker in world.workers.values():
+        worker.faults.lose_answers = 2
+
+
+def orders_come_late(world):
+    for worker in world.workers.values():
+        worker.faults.late_s = 3.0
+        world.clock.callLater(2.0, setattr, worker.faults, "late_s", 0.0)
+
+
+FAULTS = [
+    kill_scheduler,
+    freeze_scheduler,
+    cut_scheduler_from_store,
+    store_down,
+    lose_store_answers,
+    history_dropped,
+    cut_worker_off,
+    cut_worker_one_way,
+    restart_agents,
+    freeze_agent,
+    crash_worker,
+    kill_all_entries,
+    lose_worker_answers,
+    orders_come_late,
+]
+
+
+@pytest.mark.parametrize("seed", range(2))
+@pytest.mark.parametrize("fault", FAULTS, ids=lambda fault: fault.__name__)
+def test_jobs_complete_once_through(fault, seed):
+    world = make_graph_world(seed=seed)
+    jobs = {"a1": [LONG], "b2": [GANG], "c3": [STEP, {**LONG, "after": [0]}]}
+    for job_id, steps in jobs.items():
+        assert world.submit("e0", job_id, steps).kind == answers.ACCEPTED
+    world.run(0.3 + 0.4 * seed)
+    fault(world)
+    world.run(3 * LEASE_S + 25.0)
+    entry = world.scheduler()
+    for job_id in jobs:
+        assert world.state(entry, job_id) == "completed", job_id
+    check(world)
+
+
+@pytest.mark.parametrize("fault", [kill_all_entries, store_down, restart_agents])
+def test_running_work_survives(fault):
+    """What runs goes on while nobody schedules, if the lease can be kept."""
+    world = make_graph_world()
+    world.submit("e0", "a1", [LONG])
+    world.run(1.0)
+    fault(world)
+    world.run(20.0)
+    assert len(world.ledger.starts()) == 2
+    assert world.state(world.scheduler(), "a1") == "completed"
+
+
+def test_sequence_of_schedulers_is_short():
+    """A new scheduler leads within 3 s of the old one's death."""
+    world = make_graph_world()
+    old = world.scheduler()
+    world.kill(old)
+    world.run_until(lambda: world.scheduler() not in (None, old), 3.0)
+
+
+def test_unsettled_write_is_not_answered_as_refused():
+    world = make_graph_world()
+    world.nodes["e0"].faults.lose_answers = 100
+    answer = world.submit("e0", "a1", [STEP])
+    assert answer.kind in (answers.UNSETTLED, answers.ACCEPTED)
+    world.nodes["e0"].faults.lose_answers = 0
+    world.run(5.0)
+    assert world.state("e1", "a1") == "completed"
