Come back faster after outages; keep checkpoints; move work off leaving workers

Checkpoints of running work are stored every 2.5 s, and work that saves is moved from a worker that leaves.

--- a/packages/entry/src/samphiredeal/entry/graphs/dispatcher.py
+++ b/packages/entry/src/samphiredeal/entry/graphs/dispatcher.py
@@ -14,6 +14,7 @@
     Condition,
     Conflict,
     Put,
+    within,
 )
 from samphiredeal.policy.graphs import records
 from samphiredeal.policy.graphs.scheduler import GraphScheduler
@@ -24,12 +25,18 @@
 # Jobs in one transaction: three entries each, of the hundred allowed.
 _JOBS_PER_WRITE = 30
 _STORE_PAUSE_S = 0.15
+# A write without an answer is repeated after this; a store that is slowed
+# ninetyfold takes 0.5 s.
+_WRITE_S = 0.7
 # Nothing starts on a view of the operator's rows older than this: below the
 # 5 s in which a zone that is taken out must be left alone.
 _OPERATIONS_MAX_AGE_S = 3.0
 # A scheduler that has just taken over waits this long for workers to report
-# before it places anything, so that it sees what they run.
-_SETTLE_S = 0.6
+# before it places anything, so that it can choose among all of them.
+_SETTLE_S = 0.25
+# How often new checkpoints of running work are stored, for a time when no
+# scheduler's memory survives.
+_CHECKPOINTS_EVERY_S = 2.5
 
 
 class Dispatcher:
@@ -48,6 +55,7 @@
         self._round = None
         self._committing = False
         self._store_ready_at = 0.0
+        self._checkpoints_at = self._clock.seconds()
         self._ended = False
         self._timer = None
 
@@ -130,6 +138,9 @@
         now = self._clock.seconds()
         if self._committing or now < self._store_ready_at:
             return
+        if now - self._checkpoints_at > _CHECKPOINTS_EVERY_S:
+            self._checkpoints_at = now
+            self._scheduler.keep_checkpoints()
         dirty = self._scheduler.take_dirty()
         if not dirty:
             self._sessions.ends_are_recorded(self._sessions.last_ends())
@@ -162,7 +173,8 @@
             if job.active:
                 conditions.append(Condition(work.cancel_key(job.id), 0))
             puts.append(Put(key, records.encode(records.progress_of(job))))
-        answer = await self._table.write(conditions, puts)
+        written = self._table.write(conditions, puts)
+        answer = await within(self._clock, _WRITE_S, written)
         self._committing = False
         if self._ended:
             return
--- a/packages/entry/src/samphiredeal/entry/graphs/follower.py
+++ b/packages/entry/src/samphiredeal/entry/graphs/follower.py
@@ -12,7 +12,7 @@
 # Pauses after a call that failed; the first is short, since one lost answer
 # or a dropped connection is the usual cause.
 _RETRY_FIRST_S = 0.05
-_RETRY_MOST_S = 0.4
+_RETRY_MOST_S = 0.2
 
 
 class Follower:
@@ -31,6 +31,7 @@
         self._on_rows = on_rows
         self._version = None
         self._confirmed_at = None
+        self._store_clock = None
         self._running = False
         self._failing = False
 
@@ -39,6 +40,14 @@
         """The store's version up to which rows are known, or None."""
         return self._version
 
+    @property
+    def store_ms(self):
+        """The store's steady clock by now, or 0 if it is not known."""
+        if self._store_clock is None:
+            return 0
+        store_ms, at = self._store_clock
+        return store_ms + int((self._clock.seconds() - at) * 1000)
+
     @property
     def age_s(self):
         """How long ago the rows were surely current, in seconds."""
@@ -69,7 +78,9 @@
         if whole:
             answer = await self._table.snapshot()
         else:
-            answer = await self._table.changes(self._version, self._wait_s)
+            # After a failure the question is whether the store is back at all.
+            wait_s = 0.0 if self._failing else self._wait_s
+            answer = await self._table.changes(self._version, wait_s)
         if isinstance(answer, HistoryLost):
             log_message(
                 message_type="history_lost",
@@ -83,6 +94,8 @@
             self._note(failing=True, reason=answer.reason)
             return False
         self._note(failing=False)
+        if answer.store_ms:
+            self._store_clock = (answer.store_ms, self._clock.seconds())
         if whole or answer.rows:
             self._on_rows(answer.rows, whole)
         self._version = max(self._version or 0, answer.version)
--- a/packages/entry/src/samphiredeal/entry/graphs/intake.py
+++ b/packages/entry/src/samphiredeal/entry/graphs/intake.py
@@ -5,7 +5,6 @@
 """
 
 from eliot import log_message
-from twisted.internet.defer import Deferred
 from twisted.internet.task import deferLater
 
 from samphiredeal.entry.graphs import work
@@ -20,6 +19,7 @@
     Put,
     Row,
     Unavailable,
+    within,
 )
 from samphiredeal.policy.graphs import records
 
@@ -32,11 +32,16 @@
 # How long a write without an answer is settled before the caller is told: most
 # callers wait 3 s, and one that is told by half of that can try elsewhere.
 _UNSETTLED_WRITE_S = 1.2
+# One try: a write whose answer is lost is known by its condition when repeated.
+_TRY_S = 0.5
 # Without a sign of the store for this long, nothing is written at all.
 STORE_SILENT_S = 1.7
 _RETRY_PAUSE_S = 0.15
 # Time kept for the way of the answer back to the caller.
 _ANSWER_SLACK_S = 0.15
+# For this long a write without an answer may still be applied: orders that the
+# platform holds up come within 6 s, and then some.
+_UNSETTLED_KEPT_S = 15.0
 # A refused caller comes back after about as long as the outage has lasted: short
 # ones cost little, and its few tries last through a long one.
 _RETRY_AFTER_MIN_S = 1.0
@@ -55,6 +60,8 @@
         self._view = view
         self._store_age_s = store_age_s
         self._in_flight = 0
+        self._unanswered_at = float("-inf")
+        self._unsettled = {}
 
     @property
     def in_flight(self):
@@ -173,16 +180,20 @@
         Returns the store's answer; its `not_applied` is true only if no try
         can have been applied.
         """
-        age_s = self._store_age_s()
-        if age_s > STORE_SILENT_S:
-            return Unavailable(f"silent for {age_s:.1f} s", not_applied=True)
+        key = conditions[0].key
+        self._forget_settled()
+        if self._is_store_silent():
+            reason = f"silent for {self._store_age_s():.1f} s"
+            return Unavailable(reason, not_applied=key not in self._unsettled)
         began_at = self._clock.seconds()
         patience_s = min(max(0.0, call.wait_s - _ANSWER_SLACK_S), _UNSETTLED_WRITE_S)
         certain = True
         while True:
             spent_s = self._clock.seconds() - began_at
             answer = await within(
-                self._clock, patience_s - spent_s, self._table.write(conditions, puts)
+                self._clock,
+                min(_TRY_S, patience_s - spent_s),
+                self._table.write(conditions, puts),
             )
             if not isinstance(answer, Unavailable):
                 return answer
@@ -190,16 +201,37 @@
             limit_s = min(_REFUSED_WRITE_S if certain else patience_s, patience_s)
             spent_s = self._clock.seconds() - began_at
             if spent_s + _RETRY_PAUSE_S >= limit_s:
-                return answer._replace(not_applied=certain)
+                if not certain:
+                    self._unanswered_at = self._clock.seconds()
+                    self._unsettled[key] = self._unanswered_at
+                settled = certain and key not in self._unsettled
+                return answer._replace(not_applied=settled)
             await deferLater(self._clock, _RETRY_PAUSE_S)
 
+    def _is_store_silent(self):
+        """Return whether nothing has come from the store for too long.
+
+        A write without an answer is as good a sign as a follower's silence.
+        """
+        age_s = self._store_age_s()
+        since_s = self._clock.seconds() - self._unanswered_at
+        return age_s > STORE_SILENT_S or since_s < age_s
+
+    def _forget_settled(self):
+        """Drop the writes that can no longer be applied late."""
+        now = self._clock.seconds()
+        for key, at in list(self._unsettled.items()):
+            if now - at > _UNSETTLED_KEPT_S:
+                del self._unsettled[key]
+
     def _store_refusal(self, answer):
         """Return the answer to a call whose write the store did not confirm."""
         if answer.not_applied:
             reason = f"the store refuses writes: {answer.reason}"
             return _not_done(reason, self._store_age_s())
         reason = f"the store gave no answer: {answer.reason}"
-        return JobAnswer(answers.UNSETTLED, reason=reason)
+        wait_s = _retry_after_s(self._store_age_s())
+        return JobAnswer(answers.UNSETTLED, reason=reason, retry_after_s=wait_s)
 
     def _log(self, call, answer, began_at):
         log_message(
@@ -216,27 +248,12 @@
         )
 
 
-def within(clock, seconds, answer):
-    """Return a Deferred of a store's answer, or of `Unavailable` after a time.
-
-    The call itself goes on: a write may still be applied.
-    """
-    first = Deferred()
-
-    def deliver(value):
-        if not first.called:
-            timer.cancel()
-            first.callback(value)
-
-    def give_up():
-        first.callback(Unavailable(f"no answer within {seconds:.1f} s"))
-
-    timer = clock.callLater(max(0.0, seconds), give_up)
-    answer.addCallback(deliver)
-    return first
-
-
 def _not_done(reason, outage_s=0.0):
     """Return a refusal that tells when to come back."""
-    wait_s = min(max(outage_s, _RETRY_AFTER_MIN_S), _RETRY_AFTER_MAX_S)
+    wait_s = _retry_after_s(outage_s)
     return JobAnswer(answers.NOT_DONE, reason=reason, retry_after_s=wait_s)
+
+
+def _retry_after_s(outage_s):
+    """Return in how many seconds a caller should come back."""
+    return min(max(outage_s, _RETRY_AFTER_MIN_S), _RETRY_AFTER_MAX_S)
--- a/packages/entry/src/samphiredeal/entry/graphs/leadership.py
+++ b/packages/entry/src/samphiredeal/entry/graphs/leadership.py
@@ -16,9 +16,12 @@
     Put,
     Row,
     Unavailable,
+    within,
 )
 
 BEAT_EVERY_S = 0.7
+# A beat without an answer is given up then, so that the next one is in time.
+_BEAT_ANSWER_S = 0.6
 # A scheduler without a beat for this long is replaced. Three beats, and below
 # the 2.7 s in which urgent work must begin together with a start.
 TAKEOVER_AFTER_S = 2.1
@@ -27,6 +30,9 @@
 # Rows that were not confirmed for this long are not followed at all: twice the
 # wait of a call for changes, and the time of a slow store.
 _FRESH_S = 2.0
+# A beat this old by the store's clock is of a scheduler that is gone: longer
+# than an outage of the store for which a sound one would be replaced needlessly.
+_STALE_BEAT_S = 2.5
 # Entries that see the same gap try at different moments.
 _STAGGER_S = 0.25
 # For how long after its last beat a scheduler may still vouch for workers.
@@ -36,11 +42,11 @@
 class Leadership:
     """This entry's part in the choice of the scheduler."""
 
-    def __init__(self, clock, table, view, age_s, name, random, on_change):
+    def __init__(self, clock, table, view, rows, name, random, on_change):
         self._clock = clock
         self._table = table
         self._view = view
-        self._age_s = age_s
+        self._rows = rows
         self._name = name
         self._random = random
         self._on_change = on_change
@@ -117,7 +123,8 @@
         self._beat_at = self._clock.seconds()
         self._beats += 1
         answer = await self._put_beat(
-            work.BeatRecord(self._epoch, self._beats), self._condition
+            work.BeatRecord(self._epoch, self._beats, store_ms=self._rows.store_ms),
+            self._condition,
         )
         if isinstance(answer, Conflict):
             self.depose("its beat was refused by the store")
@@ -126,11 +133,13 @@
 
     def _put_beat(self, beat, condition):
         put = Put(work.BEAT_KEY, msgspec.json.encode(beat))
-        return self._table.write([condition], [put])
+        return within(
+            self._clock, _BEAT_ANSWER_S, self._table.write([condition], [put])
+        )
 
     async def _watch(self):
         now = self._clock.seconds()
-        age_s = self._age_s()
+        age_s = self._rows.age_s
         if age_s > _FRESH_S:
             self._silent_since = now
             return
@@ -144,18 +153,29 @@
     def _is_silent(self, now, age_s):
         """Return whether the scheduler has been silent for long enough."""
         silent_s = now - self._silent_since
-        if self._view.epoch.version == 0:
+        if self._view.epoch.version == 0 or self._is_stale():
             return silent_s >= self._stagger_s
         long_enough = silent_s >= TAKEOVER_AFTER_S + self._stagger_s
         return long_enough and silent_s - age_s >= _SILENCE_SEEN_S
 
+    def _is_stale(self):
+        """Return whether the store's clock shows the beat to be long past.
+
+        Only for an entry that has seen no beat arrive: the store may have been
+        down for all, which stops the beats of a sound scheduler too.
+        """
+        stamped_ms = self._view.beat.value.store_ms
+        if self._view.beats_seen > 1 or not stamped_ms or not self._rows.store_ms:
+            return False
+        return self._rows.store_ms - stamped_ms > _STALE_BEAT_S * 1000
+
     async def _take_over(self, now):
         before = self._view.epoch
         beat_age_s = now - self._view.beat_seen_at
         nonce = f"{self._random.getrandbits(64):016x}"
         epoch = work.EpochRecord(before.value.number + 1, self._name, nonce)
         data = msgspec.json.encode(epoch)
-        beat = work.BeatRecord(epoch.number, 0)
+        beat = work.BeatRecord(epoch.number, 0, store_ms=self._rows.store_ms)
         answer = await self._table.write(
             [Condition(work.EPOCH_KEY, before.version)],
             [
--- a/packages/entry/src/samphiredeal/entry/graphs/node.py
+++ b/packages/entry/src/samphiredeal/entry/graphs/node.py
@@ -73,7 +73,7 @@
             clock,
             table,
             self._view,
-            lambda: self._work_rows.age_s,
+            self._work_rows,
             name,
             random,
             self._leadership_changed,
--- a/packages/entry/src/samphiredeal/entry/graphs/work.py
+++ b/packages/entry/src/samphiredeal/entry/graphs/work.py
@@ -58,11 +58,16 @@
 
 
 class BeatRecord(NamedTuple):
-    """A sign of life of the scheduler of an epoch."""
+    """A sign of life of the scheduler of an epoch.
+
+    `store_ms` is the store's clock as the scheduler knew it (0: not known), by
+    which an entry that has just started sees how old the beat is.
+    """
 
     epoch: int
     count: int
     resigned: bool = False
+    store_ms: int = 0
 
 
 class WorkerRecord(NamedTuple):
@@ -100,6 +105,7 @@
         self.epoch = Versioned(EpochRecord(0, "", ""), 0)
         self.beat = Versioned(BeatRecord(0, 0), 0)
         self.beat_seen_at = clock.seconds()
+        self.beats_seen = 0
         self._maps = {
             _JOB: self.jobs,
             _PROGRESS: self.progress,
@@ -134,6 +140,7 @@
         if row.key == BEAT_KEY:
             if row.version > self.beat.version:
                 self.beat_seen_at = self._clock.seconds()
+                self.beats_seen += 1
             self._take_newer("beat", BeatRecord, row)
             return
         prefix, _, name = row.key.partition("/")
--- a/packages/platform/src/samphiredeal/platform/client.py
+++ b/packages/platform/src/samphiredeal/platform/client.py
@@ -190,7 +190,7 @@
         return answer if isinstance(answer, Unavailable) else _rows(answer)
 
     async def _snapshot(self):
-        rows, start, version = [], "", None
+        rows, start, version, store_ms = [], "", None, 0
         while True:
             answer = await self._page(start, "", _PAGE_ROWS)
             if isinstance(answer, Unavailable):
@@ -198,9 +198,10 @@
             page = _rows(answer)
             rows += page
             # Later pages may be newer; changes since the first are read again.
-            version = answer["ver"] if version is None else version
+            if version is None:
+                version, store_ms = answer["ver"], answer.get("now-ms", 0)
             if not answer.get("has-more") or not page:
-                return Changes(rows, version)
+                return Changes(rows, version, store_ms)
             start = page[-1].key + "\0"
 
     async def _changes(self, after, wait_s):
@@ -216,7 +217,7 @@
             return body
         if answer[0] == 410:
             return HistoryLost(body.get("ver", after))
-        return Changes(_rows(body), body["ver"])
+        return Changes(_rows(body), body["ver"], body.get("now-ms", 0))
 
     async def _page(self, start, end, limit):
         path = (
--- a/packages/platform/src/samphiredeal/platform/memory.py
+++ b/packages/platform/src/samphiredeal/platform/memory.py
@@ -104,7 +104,7 @@
         self.faults.reads += 1
         records = self._records
         return self._answer(
-            lambda: Changes([records.rows[k] for k in records.keys], records.version)
+            lambda: self._changes_now([records.rows[k] for k in records.keys])
         )
 
     def changes(self, after, wait_s):
@@ -121,13 +121,13 @@
             if after < records.forgotten_to:
                 answered.callback(HistoryLost(records.version))
             elif records.since(after):
-                answered.callback(Changes(records.since(after), records.version))
+                answered.callback(self._changes_now(records.since(after)))
             else:
                 records.waiting.append(look)
 
         def give_up():
             if not answered.called:
-                answered.callback(Changes([], records.version))
+                answered.callback(self._changes_now([]))
 
         look()
         if not answered.called and self._clock is not None:
@@ -137,6 +137,10 @@
             give_up()
         return answered.addCallback(self._deliver)
 
+    def _changes_now(self, rows):
+        store_ms = int(self._clock.seconds() * 1000) if self._clock else 0
+        return Changes(rows, self._records.version, store_ms)
+
     def write(self, conditions, puts, deletes=()):
         """Return a Deferred of the answer; see `samphiredeal.platform.table`."""
         self.faults.writes += 1
--- a/packages/platform/src/samphiredeal/platform/service.py
+++ b/packages/platform/src/samphiredeal/platform/service.py
@@ -70,6 +70,7 @@
         body = {
             "rows": [_row_fields(table_name, row) for row in rows[:limit]],
             "ver": answer.version,
+            "now-ms": answer.store_ms,
             "has-more": len(rows) > limit,
         }
         return 200, body
--- a/packages/platform/src/samphiredeal/platform/table.py
+++ b/packages/platform/src/samphiredeal/platform/table.py
@@ -22,6 +22,7 @@
 
 from typing import NamedTuple
 
+from twisted.internet.defer import Deferred
 from twisted.internet.task import deferLater
 
 
@@ -60,10 +61,14 @@
 
 
 class Changes(NamedTuple):
-    """Rows in the order of their changes, up to and including `version`."""
+    """Rows in the order of their changes, up to and including `version`.
+
+    `store_ms` is the store's steady clock as it answered.
+    """
 
     rows: list
     version: int
+    store_ms: int = 0
 
 
 class HistoryLost(NamedTuple):
@@ -94,6 +99,26 @@
 _SETTLE_PAUSE_S = 0.2
 
 
+def within(clock, seconds, answer):
+    """Return a Deferred of a store's answer, or of `Unavailable` after a time.
+
+    The call itself goes on: a write may still be applied.
+    """
+    first = Deferred()
+
+    def deliver(value):
+        if not first.called:
+            timer.cancel()
+            first.callback(value)
+
+    def give_up():
+        first.callback(Unavailable(f"no answer within {seconds:.1f} s"))
+
+    timer = clock.callLater(max(0.0, seconds), give_up)
+    answer.addCallback(deliver)
+    return first
+
+
 async def write_settled(clock, table, conditions, puts, deletes=(), give_up_at=None):
     """Write and settle lost answers by re-reading the first put row.
 
--- a/packages/policy/src/samphiredeal/policy/graphs/scheduler.py
+++ b/packages/policy/src/samphiredeal/policy/graphs/scheduler.py
@@ -134,6 +134,14 @@
             job.dirty = False
         return dirty
 
+    def keep_checkpoints(self):
+        """Have jobs stored whose running work has saved something new."""
+        for job in self.jobs.values():
+            for unit in job.units.values():
+                if unit.placements and unit.checkpoint != unit.stored_checkpoint:
+                    unit.stored_checkpoint = unit.checkpoint
+                    job.dirty = True
+
     def plan(self, now, wall_ms):
         """Decide starts and stops; they show as placements of the workers."""
         for worker in self.workers.values():
@@ -189,13 +197,16 @@
 
     def _stop_reason(self, placement, now):
         unit = placement.unit
-        if not unit.job.active:
-            return f"its job is {unit.job.state}"
         if unit.done:
             overdue = now - (unit.done_at or now) > _LINGER_S
             return "its gang is done" if overdue else ""
+        if not unit.job.active:
+            return f"its job is {unit.job.state}"
+        worker = self.workers[placement.worker]
+        movable = worker.leaving and unit.spec.checkpointing
+        if movable and self._has_other_place(unit, worker):
+            return "its worker is leaving"
         if health.stands_still(placement):
-            worker = self.workers[placement.worker]
             health.note_stall(worker, now)
             if self._has_other_place(unit, worker):
                 return "it stands still"
--- a/packages/policy/src/samphiredeal/policy/graphs/state.py
+++ b/packages/policy/src/samphiredeal/policy/graphs/state.py
@@ -90,6 +90,7 @@
         "run",
         "spec",
         "step",
+        "stored_checkpoint",
     )
 
     def __init__(self, job, occurrence, step, indexes):
@@ -101,6 +102,7 @@
         self.run = 0
         self.failures = 0
         self.checkpoint = ""
+        self.stored_checkpoint = ""
         self.done = False
         self.done_at = None
         self.placements = {}
