Test the decisions on job graphs; move runs off crawling workers; keep fillers apart

Found by the tests: an end of a lasting task that was listed twice stopped its next run. Runs far slower than their siblings start anew elsewhere, and work that fills unused processors is kept off workers whose tasks serve users.

--- a/packages/policy/src/samphiredeal/policy/graphs/fitting.py
+++ b/packages/policy/src/samphiredeal/policy/graphs/fitting.py
@@ -21,9 +21,21 @@
         and worker.service == unit.job.record.service
         and worker.zone not in state.zones_out
         and (not unit.spec.label or unit.spec.label in worker.labels)
+        and not _would_disturb(unit, worker)
     )
 
 
+def _would_disturb(unit, worker):
+    """Return whether the unit and what the worker runs would harm each other.
+
+    Work that fills unused processors slows tasks that serve users of their own.
+    """
+    steps = [placement.unit.spec for placement in worker.placements.values()]
+    if unit.spec.fills:
+        return any(step.target_latency_ms for step in steps)
+    return bool(unit.spec.target_latency_ms) and any(step.fills for step in steps)
+
+
 def spread_room(unit, worker):
     """Return how many more members the spread limit lets onto the worker."""
     limit = unit.spec.spread_limit
--- a/packages/policy/src/samphiredeal/policy/graphs/health.py
+++ b/packages/policy/src/samphiredeal/policy/graphs/health.py
@@ -11,6 +11,11 @@
 # So many looks without progress show that it is not the look that is missing.
 _STALL_LOOKS = 3
 _STALL_PERCENTS = 8
+# A run at less than this share of its siblings' speed is worth starting anew
+# elsewhere if more than half of it is left; workers differ by 1.6 at most.
+_CRAWL_SHARE = 0.35
+_CRAWL_LEFT_MIN = 0.5
+_SIBLINGS_MIN = 2
 _STALL_MEMORY_S = 6.0
 
 
@@ -70,3 +75,21 @@
     expected_s = unit.estimate_s * _STALL_PERCENTS / 100
     still_s = placement.seen_at - placement.percent_at
     return still_s > max(STALL_MIN_S, expected_s)
+
+
+def crawls(placement, siblings):
+    """Return whether a run is far slower than its siblings on other workers.
+
+    Estimates are far off from job to job, but alike for the tasks of a step.
+    """
+    speed = placement.speed
+    others = sorted(
+        other.speed
+        for other in siblings
+        if other.worker != placement.worker and other.speed is not None
+    )
+    if speed is None or len(others) < _SIBLINGS_MIN:
+        return False
+    usual = others[len(others) // 2]
+    left = 1 - placement.percent / 100
+    return speed < _CRAWL_SHARE * usual and left > _CRAWL_LEFT_MIN
--- a/packages/policy/src/samphiredeal/policy/graphs/reports.py
+++ b/packages/policy/src/samphiredeal/policy/graphs/reports.py
@@ -106,6 +106,8 @@
 def _note_progress(placement, percent, looked_at):
     """Note what a new look at the worker says of a run's progress."""
     placement.seen_at = looked_at
+    if placement.first_look is None:
+        placement.first_look = (looked_at, percent)
     if percent != placement.percent:
         placement.percent = percent
         placement.percent_at = looked_at
@@ -141,7 +143,7 @@
     mine = placement is not None and placement.run == ended.run
     if mine and placement.worker == worker.name:
         _remove(worker, placement)
-    elif not (ended.how == runs.DONE and not unit.done):
+    elif ended.how != runs.DONE or unit.done or unit.spec.lasting:
         return
     notes.append(
         (
--- a/packages/policy/src/samphiredeal/policy/graphs/scheduler.py
+++ b/packages/policy/src/samphiredeal/policy/graphs/scheduler.py
@@ -211,10 +211,25 @@
             if self._has_other_place(unit, worker):
                 return "it stands still"
             return ""
+        if self._crawls(placement) and self._has_other_place(unit, worker):
+            health.note_stall(worker, now)
+            return "it runs far slower than its siblings"
         if unit.count > 1 and self._is_incomplete(unit, now):
             return "its gang did not start as a whole"
         return ""
 
+    def _crawls(self, placement):
+        unit = placement.unit
+        if unit.spec.lasting or unit.spec.count < 2 or placement.speed is None:
+            return False
+        siblings = [
+            other
+            for sibling in unit.job.units.values()
+            if sibling.step == unit.step and sibling.occurrence == unit.occurrence
+            for other in sibling.placements.values()
+        ]
+        return health.crawls(placement, siblings)
+
     def _has_other_place(self, unit, worker):
         others = [
             other
--- a/packages/policy/src/samphiredeal/policy/graphs/state.py
+++ b/packages/policy/src/samphiredeal/policy/graphs/state.py
@@ -19,12 +19,16 @@
 ORDERED = "ordered"
 LISTED = "listed"
 
+# A run's speed is judged after it was watched for this long.
+_SPEED_WATCH_S = 2.0
+
 
 class Placement:
     """One member of a unit on one life of a worker."""
 
     __slots__ = (
         "committed",
+        "first_look",
         "index",
         "life",
         "order_number",
@@ -62,9 +66,23 @@
         # When the percentage was last looked at, and how often unchanged.
         self.seen_at = now
         self.still_looks = 0
+        # Time and percentage of the first look, from which speed is measured.
+        self.first_look = None
         self.stopping = ""
         self.stop_sent_at = None
 
+    @property
+    def speed(self):
+        """Work per second relative to the estimate, or None if not known yet."""
+        if self.first_look is None:
+            return None
+        first_at, first_percent = self.first_look
+        watched_s = self.seen_at - first_at
+        if watched_s < _SPEED_WATCH_S:
+            return None
+        worked = (self.percent - first_percent) / 100
+        return worked * self.unit.estimate_s / watched_s
+
     @property
     def task(self):
         """The task's name as a string."""
--- /dev/null
+++ b/packages/policy/tests/test_graph_scheduler.py
@@ -0,0 +1,399 @@
+"""Decisions on job graphs, each named after the load or fault that it answers."""
+
+import pytest
+from graph_builders import (
+    make_facts,
+    make_record,
+    make_report,
+    make_scheduler,
+    make_step,
+)
+
+from samphiredeal.model import runs
+from samphiredeal.model.graph import GraphSpec, fault_of
+from samphiredeal.model.runs import Ended, Refused, Running
+from samphiredeal.policy.graphs import records
+from samphiredeal.policy.graphs.state import COMPLETED, FAILED
+
+
+class Bench:
+    """A scheduler with workers that do at once what they are told."""
+
+    def __init__(self, workers):
+        self.facts = dict(workers)
+        self.scheduler = make_scheduler(self.facts)
+        self.now = 0.0
+        self.running = {name: {} for name in workers}
+        self.ends = {name: [] for name in workers}
+        self.percent = {}
+        self.looks = 0
+        self.frozen = set()
+
+    def add(self, *records_):
+        for record in records_:
+            self.scheduler.add_job(record, None, self.now)
+
+    def step(self, seconds=0.0):
+        """Let time pass, report, plan, commit and carry orders out."""
+        self.now += seconds
+        self.looks += 1
+        for name in self.facts:
+            self.report(name)
+        self.scheduler.plan(self.now, int(self.now * 1000))
+        for job in self.scheduler.take_dirty():
+            for unit in job.units.values():
+                for placement in unit.placements.values():
+                    placement.committed = True
+        for name in self.facts:
+            starts, stops = self.scheduler.orders_for(name, self.now, self.looks)
+            for order in starts:
+                self.running[name][(order.task, order.run)] = self.now
+            for task, run in stops:
+                if self.running[name].pop((task, run), None) is not None:
+                    self.end(name, task, run, runs.STOPPED)
+        return self
+
+    def report(self, name, **fields):
+        listed = tuple(
+            Running(task, run, "", self.percent.get((name, task), self.looks % 90))
+            for task, run in self.running[name]
+        )
+        self.scheduler.absorb(
+            name,
+            make_report(
+                self.facts[name],
+                running=listed,
+                ended=tuple(self.ends[name]),
+                looks=self.looks,
+                **fields,
+            ),
+            self.now,
+        )
+
+    def end(self, name, task, run, how=runs.DONE, checkpoint=""):
+        self.running[name].pop((task, run), None)
+        number = len(self.ends[name]) + 1
+        self.ends[name].append(Ended(number, task, run, how, checkpoint))
+
+    def end_all(self, job_id, how=runs.DONE):
+        for name, listed in self.running.items():
+            for task, run in list(listed):
+                if task.startswith(job_id + "."):
+                    self.end(name, task, run, how)
+
+    def places(self, job_id):
+        """Return the worker names that run a job's tasks."""
+        return sorted(
+            name
+            for name, listed in self.running.items()
+            for task, _run in listed
+            if task.startswith(job_id + ".")
+        )
+
+    def state(self, job_id):
+        return self.scheduler.jobs[job_id].state
+
+
+def make_workers(count=4, per_rack=2, **fields):
+    return {
+        f"w{n}": make_facts(f"w{n}", "ab"[n % 2], f"r{n // per_rack}", **fields)
+        for n in range(count)
+    }
+
+
+def test_later_steps_wait_for_earlier_ones():
+    bench = Bench(make_workers())
+    bench.add(make_record("a", [make_step(2), make_step(1, after=(0,))]))
+    bench.step()
+    assert len(bench.places("a")) == 2
+    bench.end_all("a")
+    bench.step().step()
+    assert [t for listed in bench.running.values() for t, _r in listed] == ["a.0.1.0"]
+    bench.end_all("a")
+    bench.step()
+    assert bench.state("a") == COMPLETED
+
+
+def test_gang_starts_whole_on_one_rack():
+    bench = Bench(make_workers())
+    bench.add(make_record("a", [make_step(3, 4, gang=True, one_rack=True)]))
+    bench.step()
+    places = bench.places("a")
+    assert len(places) == 3
+    assert len({bench.facts[name].labels[-1] for name in places}) == 1
+
+
+def test_gang_waits_rather_than_start_in_part():
+    bench = Bench(make_workers(2))
+    bench.add(make_record("a", [make_step(1, 8)]))
+    bench.step()
+    bench.add(make_record("b", [make_step(2, 8, gang=True)]))
+    bench.step(1.0)
+    assert bench.places("b") == []
+    bench.end_all("a")
+    bench.step().step()
+    assert len(bench.places("b")) == 2
+
+
+def test_gang_is_stopped_with_its_lost_member():
+    bench = Bench(make_workers(2))
+    bench.add(make_record("a", [make_step(2, 8, gang=True)]))
+    bench.step()
+    bench.scheduler.worker_lost("w0", "gone")
+    bench.running["w0"].clear()
+    bench.scheduler.worker_unreachable("w0")
+    del bench.facts["w0"]
+    bench.step(0.1)
+    assert bench.places("a") == []
+
+
+def test_spread_limit_and_label_hold():
+    workers = make_workers(3)
+    workers["w2"] = make_facts("w2", labels=("big", "r9"))
+    bench = Bench(workers)
+    bench.add(
+        make_record("a", [make_step(3, 1, spread_limit=1)]),
+        make_record("b", [make_step(2, 1, label="big")]),
+    )
+    bench.step()
+    assert bench.places("a") == ["w0", "w1", "w2"]
+    assert bench.places("b") == ["w2", "w2"]
+
+
+def test_burst_of_urgent_work_into_a_full_cluster_displaces_saved_work_first():
+    bench = Bench(make_workers(2))
+    bench.scheduler.guarantees = {"acct": 16}
+    bench.add(
+        make_record("plain", [make_step(1, 8)], account="other"),
+        make_record("saves", [make_step(1, 8, checkpointing=True)], account="other"),
+    )
+    bench.step().step(0.1).step(5.0)
+    bench.add(make_record("urgent", [make_step(1, 8)], priority=0))
+    bench.step(0.1).step(0.1).step(0.1)
+    assert len(bench.places("urgent")) == 1
+    assert len(bench.places("plain")) == 1
+    assert bench.places("saves") == []
+
+
+def test_guarantee_is_given_back_by_others_who_borrow_it():
+    bench = Bench(make_workers(2))
+    bench.scheduler.guarantees = {"mine": 8}
+    bench.add(
+        *[
+            make_record(f"b{n}", [make_step(1, 8)], priority=0, account="guest")
+            for n in range(2)
+        ]
+    )
+    bench.step().step(3.0)
+    bench.add(make_record("a", [make_step(1, 8)], priority=0, account="mine"))
+    bench.step(0.1).step(0.1).step(0.1)
+    assert len(bench.places("a")) == 1
+
+
+def test_urgent_work_beyond_its_guarantee_displaces_only_what_is_cheap():
+    bench = Bench(make_workers(1))
+    bench.add(make_record("long", [make_step(1, 8, estimate_ms=60_000)]))
+    bench.step().step(0.1).step(30.0)
+    bench.add(make_record("u", [make_step(1, 8, estimate_ms=1000)], priority=0))
+    bench.step(0.1).step(0.1)
+    assert len(bench.places("long")) == 1
+
+
+def test_room_that_is_made_is_not_taken_by_others():
+    bench = Bench(make_workers(1))
+    bench.scheduler.guarantees = {"acct": 8}
+    bench.add(make_record("long", [make_step(8, 1, checkpointing=True)]))
+    bench.step().step(1.0)
+    bench.add(make_record("urgent", [make_step(1, 8)], priority=0))
+    bench.scheduler.plan(bench.now, 1000)
+    bench.add(make_record("small", [make_step(1, 1)]))
+    bench.step(0.1).step(0.1)
+    assert len(bench.places("urgent")) == 1
+    assert bench.places("small") == []
+
+
+def test_failures_count_against_attempts_and_end_the_job():
+    bench = Bench(make_workers())
+    bench.add(make_record("a", max_attempts=2))
+    bench.step()
+    first = bench.places("a")
+    bench.end_all("a", runs.FAILED)
+    bench.step().step()
+    assert bench.places("a") and bench.places("a") != first
+    bench.end_all("a", runs.FAILED)
+    bench.step()
+    assert bench.state("a") == FAILED
+    assert bench.places("a") == []
+
+
+@pytest.mark.parametrize(
+    "how", [runs.STOPPED, runs.LAPSED, runs.GANG_BROKEN, runs.GANG_INCOMPLETE]
+)
+def test_other_ends_cost_no_attempt(how):
+    bench = Bench(make_workers())
+    bench.add(make_record("a", max_attempts=1))
+    for _ in range(3):
+        bench.step().step()
+        bench.end_all("a", how)
+    bench.step().step()
+    assert len(bench.places("a")) == 1
+
+
+def test_refused_start_is_placed_again_without_an_attempt():
+    bench = Bench(make_workers())
+    bench.add(make_record("a", max_attempts=1))
+    bench.step()
+    (name,) = bench.places("a")
+    bench.running[name].clear()
+    bench.report(name, refused=(Refused("a.0.0.0", 1, runs.LEAVING),))
+    bench.step()
+    assert len(bench.places("a")) == 1
+
+
+def test_worker_that_fails_several_jobs_is_avoided():
+    bench = Bench(make_workers(2))
+    bench.add(make_record("a"), make_record("b"))
+    bench.step()
+    sick = bench.places("a")[0]
+    for job in "ab":
+        for task, run in list(bench.running[sick]):
+            if task.startswith(job):
+                bench.end(sick, task, run, runs.FAILED)
+    bench.step().step()
+    bench.add(*[make_record(f"c{n}") for n in range(3)])
+    bench.step()
+    assert sick not in {name for n in range(3) for name in bench.places(f"c{n}")}
+
+
+def test_run_that_stands_still_moves_only_after_enough_looks():
+    bench = Bench(make_workers())
+    bench.add(make_record("a"))
+    bench.step()
+    first = bench.places("a")
+    for name in bench.facts:
+        bench.percent[(name, "a.0.0.0")] = 5
+    for _ in range(5):
+        bench.looks -= 1
+        bench.step(1.0)
+    assert bench.places("a") == first
+    for _ in range(6):
+        bench.step(1.0)
+    assert bench.places("a") != first
+
+
+def test_run_far_slower_than_its_siblings_moves():
+    bench = Bench(make_workers(4))
+    bench.add(make_record("a", [make_step(4, 8, estimate_ms=20_000)]))
+    bench.add(make_record("b", [make_step(4, 8, spread_limit=1)]))
+    del bench.scheduler.jobs["b"]
+    bench.facts["w4"] = make_facts("w4", "a", "r9")
+    bench.running["w4"], bench.ends["w4"] = {}, []
+    bench.scheduler.add_worker("w4", "a")
+    bench.step()
+    slow = bench.places("a")[0]
+    for second in range(1, 6):
+        for name in bench.running:
+            for task, _run in bench.running[name]:
+                rate = 1 if name == slow else 6
+                bench.percent[(name, task)] = second * rate
+        bench.step(1.0)
+    assert slow not in bench.places("a")
+
+
+def test_saved_work_leaves_a_worker_that_leaves():
+    bench = Bench(make_workers(2))
+    bench.add(make_record("a", [make_step(1, 8, checkpointing=True)]))
+    bench.step()
+    (name,) = bench.places("a")
+    bench.facts[name] = bench.facts[name]._replace(leaving=True, leaving_in_ms=2000)
+    bench.step(0.1).step(0.1).step(0.1)
+    assert bench.places("a") and bench.places("a") != [name]
+
+
+def test_nothing_starts_in_a_zone_that_is_out():
+    bench = Bench(make_workers())
+    bench.scheduler.zones_out = frozenset("a")
+    bench.add(make_record("a", [make_step(16, 1)]))
+    bench.step()
+    assert {bench.facts[name].zone for name in bench.places("a")} == {"b"}
+
+
+def test_filling_work_keeps_away_from_work_that_serves():
+    bench = Bench(make_workers(1))
+    bench.add(make_record("s", [make_step(1, 1, target_latency_ms=50, lasting=True)]))
+    bench.step()
+    bench.add(make_record("f", [make_step(1, 0, fills=True)]))
+    bench.step(1.0)
+    assert bench.places("f") == []
+
+
+def test_lasting_work_is_started_anew_however_it_ends():
+    bench = Bench(make_workers())
+    bench.add(make_record("a", [make_step(1, lasting=True)], max_attempts=1))
+    for how in (runs.DONE, runs.FAILED, runs.LAPSED):
+        bench.step().step()
+        bench.end_all("a", how)
+    bench.step().step()
+    assert len(bench.places("a")) == 1
+
+
+def test_repeated_job_starts_at_its_due_times():
+    bench = Bench(make_workers())
+    spec = GraphSpec("p", (make_step(),), 2, first_due_ms=1000, interval_ms=2000)
+    bench.add(make_record("a", spec=spec))
+    bench.step(0.5)
+    assert bench.places("a") == []
+    bench.step(0.6)
+    assert len(bench.places("a")) == 1
+    bench.step(2.0)
+    assert len(bench.places("a")) == 2
+    bench.end_all("a")
+    bench.step()
+    assert bench.state("a") == COMPLETED
+
+
+def test_takeover_keeps_runs_and_what_is_done():
+    bench = Bench(make_workers())
+    bench.add(make_record("a", [make_step(2), make_step(1, after=(0,))]))
+    bench.step().step()
+    (name, task) = next((n, t) for n, ls in bench.running.items() for t, _r in ls)
+    bench.end(name, task, 1)
+    bench.step()
+    job = bench.scheduler.jobs["a"]
+    stored = records.decode_progress(records.encode(records.progress_of(job)))
+    other = make_scheduler({})
+    other.add_job(job.record, stored, 0.0)
+    restored = other.jobs["a"]
+    done = [unit.done for unit in restored.units.values() if unit.step == 0]
+    assert sorted(done) == [False, True]
+    assert sum(len(worker.placements) for worker in other.workers.values()) == 1
+
+
+def test_last_end_before_the_first_plan_of_a_term_completes_the_job():
+    bench = Bench(make_workers())
+    bench.add(make_record("a"))
+    bench.step().step()
+    job = bench.scheduler.jobs["a"]
+    stored = records.progress_of(job)
+    later = Bench(bench.facts)
+    later.scheduler.add_job(job.record, stored, 0.0)
+    (name,) = bench.places("a")
+    later.end(name, "a.0.0.0", 1)
+    later.step()
+    assert later.state("a") == COMPLETED
+
+
+@pytest.mark.parametrize(
+    "steps, field",
+    [
+        ([], "steps"),
+        ([make_step(0)], "count"),
+        ([make_step(after=(0,))], "after"),
+        ([make_step(), make_step(after=(1,))], "after"),
+        ([make_step(shape=(-1, 0, 0))], "shape"),
+        ([make_step(20_000)], "steps"),
+        ([make_step(spread_limit=-1)], "spread limit"),
+    ],
+)
+def test_fault_names_the_field(steps, field):
+    assert field in fault_of(GraphSpec("p", tuple(steps)))
