Keep a job's last attempts off workers that fail what they start

A run that fails right after its start now points to the worker (unless the unit has failed elsewhere too), and a unit waits for or makes room on a sound worker if any could hold it.

--- a/packages/entry/src/samphiredeal/entry/graphs/intake.py
+++ b/packages/entry/src/samphiredeal/entry/graphs/intake.py
@@ -182,9 +182,9 @@
         """
         key = conditions[0].key
         self._forget_settled()
-        if self._is_store_silent():
+        if self._is_store_silent() and key not in self._unsettled:
             reason = f"silent for {self._store_age_s():.1f} s"
-            return Unavailable(reason, not_applied=key not in self._unsettled)
+            return Unavailable(reason, not_applied=True)
         began_at = self._clock.seconds()
         patience_s = min(max(0.0, call.wait_s - _ANSWER_SLACK_S), _UNSETTLED_WRITE_S)
         certain = True
--- a/packages/policy/src/samphiredeal/policy/graphs/health.py
+++ b/packages/policy/src/samphiredeal/policy/graphs/health.py
@@ -1,7 +1,16 @@
 """Which workers seem sick, judged by the fate of the tasks on them."""
 
+from typing import NamedTuple
+
 from samphiredeal.model import runs
 
+# How much a worker is suspected, from 0 to 1.
+SICK = 1.0
+DOUBTFUL = 0.4
+CLEARED = 0.1
+# A run that fails within this share of its estimate has hardly begun.
+_SOON_SHARE = 0.1
+
 # How long failures count against a worker, in seconds: about as long as the
 # sick spells of executors that the operators report.
 _MEMORY_S = 12.0
@@ -19,9 +28,23 @@
 _STALL_MEMORY_S = 6.0
 
 
-def note_failure(worker, unit, now):
-    """Count a run that failed on the worker."""
-    worker.failures.append((now, unit.job.id))
+class Failure(NamedTuple):
+    """A run that failed on a worker; `blamed` if the worker is the likely cause."""
+
+    at: float
+    job: str
+    blamed: bool
+
+
+def note_failure(worker, unit, ran_s, now):
+    """Count a run that failed on the worker after `ran_s` seconds.
+
+    A failure soon after the start points to the worker, unless the unit has
+    failed on another worker before.
+    """
+    soon = ran_s < _SOON_SHARE * unit.estimate_s
+    elsewhere = any(name != worker.name for name in unit.failed_on)
+    worker.failures.append(Failure(now, unit.job.id, soon and not elsewhere))
 
 
 def note_success(worker, now):
@@ -32,7 +55,7 @@
 def note_refusal(worker, reason, now):
     """Count a start that the worker did not answer or was too unwell for."""
     if reason in (runs.UNHEALTHY, runs.UNANSWERED):
-        worker.failures.append((now, reason))
+        worker.failures.append(Failure(now, reason, False))
 
 
 def note_stall(worker, now):
@@ -42,7 +65,7 @@
 
 def forget(worker, now):
     """Drop what is too old to count."""
-    worker.failures = [f for f in worker.failures if now - f[0] < _MEMORY_S]
+    worker.failures = [f for f in worker.failures if now - f.at < _MEMORY_S]
     worker.successes = [at for at in worker.successes if now - at < _MEMORY_S]
     if worker.stalled_at is not None and now - worker.stalled_at > _STALL_MEMORY_S:
         worker.stalled_at = None
@@ -55,14 +78,24 @@
     the job's own fault; a later success clears the worker.
     """
     if worker.stalled_at is not None:
-        return 1.0
+        return SICK
     if not worker.failures:
         return 0.0
-    last_failure = max(at for at, _job in worker.failures)
+    last_failure = max(failure.at for failure in worker.failures)
     if worker.successes and worker.successes[-1] > last_failure:
-        return 0.1
-    jobs = {job for _at, job in worker.failures}
-    return 0.4 if len(jobs) == 1 else 1.0
+        return CLEARED
+    if any(failure.blamed for failure in worker.failures):
+        return SICK
+    jobs = {failure.job for failure in worker.failures}
+    return DOUBTFUL if len(jobs) == 1 else SICK
+
+
+def is_risky(worker, unit):
+    """Return whether the worker may well cost the unit one of its attempts."""
+    if worker.name in unit.failed_on:
+        return True
+    last = unit.failures + 1 >= unit.job.record.max_attempts
+    return suspicion(worker) >= (DOUBTFUL if last and unit.failures else SICK)
 
 
 def stands_still(placement):
--- a/packages/policy/src/samphiredeal/policy/graphs/reports.py
+++ b/packages/policy/src/samphiredeal/policy/graphs/reports.py
@@ -163,7 +163,9 @@
     if ended.how == runs.DONE and not unit.spec.lasting:
         _finish_unit(unit, worker, now)
     elif ended.how == runs.FAILED:
-        _fail_unit(unit, worker, now)
+        began_at = placement.running_since if mine else None
+        ran_s = now - began_at if began_at is not None else 0.0
+        _fail_unit(unit, worker, ran_s, now)
     else:
         _stop_rest(unit, ended.how)
     unit.job.settle(now)
@@ -177,8 +179,8 @@
     health.note_success(worker, now)
 
 
-def _fail_unit(unit, worker, now):
-    health.note_failure(worker, unit, now)
+def _fail_unit(unit, worker, ran_s, now):
+    health.note_failure(worker, unit, ran_s, now)
     unit.failed_on.append(worker.name)
     _stop_rest(unit, "a member of its gang failed")
     if unit.spec.lasting or unit.done:
--- a/packages/policy/src/samphiredeal/policy/graphs/scheduler.py
+++ b/packages/policy/src/samphiredeal/policy/graphs/scheduler.py
@@ -330,6 +330,9 @@
             for worker in self.workers.values()
             if fitting.allowed(self, unit, worker)
         ]
+        sound = [one for one in workers if not health.is_risky(one, unit)]
+        if fitting.could_hold(unit, sound):
+            workers = sound
         unit.claim = {
             name: count
             for name, count in unit.claim.items()
--- a/packages/policy/tests/test_graph_scheduler.py
+++ b/packages/policy/tests/test_graph_scheduler.py
@@ -12,7 +12,7 @@
 from samphiredeal.model import runs
 from samphiredeal.model.graph import GraphSpec, fault_of
 from samphiredeal.model.runs import Ended, Refused, Running
-from samphiredeal.policy.graphs import records
+from samphiredeal.policy.graphs import health, records
 from samphiredeal.policy.graphs.state import COMPLETED, FAILED
 
 
@@ -265,6 +265,35 @@
     assert sick not in {name for n in range(3) for name in bench.places(f"c{n}")}
 
 
+def test_last_attempt_waits_for_a_sound_worker():
+    """A worker that fails all it is given must not use up a job's attempts."""
+    bench = Bench(make_workers(2))
+    bench.add(make_record("full", [make_step(1, 8)]))
+    bench.step()
+    (busy,) = bench.places("full")
+    bench.add(make_record("a", [make_step(1, 8)], priority=0, max_attempts=2))
+    bench.step()
+    (sick,) = bench.places("a")
+    bench.end_all("a", runs.FAILED)
+    bench.step().step(0.1)
+    assert bench.places("a") in ([], [busy])
+    bench.end_all("full")
+    bench.step().step()
+    assert bench.places("a") == [busy]
+
+
+def test_poisoned_job_does_not_make_every_worker_suspect():
+    bench = Bench(make_workers(4))
+    bench.add(make_record("p", max_attempts=4))
+    for _ in range(4):
+        bench.step().step()
+        bench.end_all("p", runs.FAILED)
+    bench.step()
+    assert bench.state("p") == FAILED
+    sick = [w for w in bench.scheduler.workers.values() if health.suspicion(w) == 1.0]
+    assert len(sick) == 1
+
+
 def test_run_that_stands_still_moves_only_after_enough_looks():
     bench = Bench(make_workers())
     bench.add(make_record("a"))
