Let wide urgent jobs run in waves; keep claims and used room up to date

The objective counts waves, and urgent work beyond its guarantee displaces others only when it must start within 1.5 s. Used room and claims are kept with each change instead of being summed up for each question.

--- a/packages/policy/src/samphiredeal/policy/graphs/fitting.py
+++ b/packages/policy/src/samphiredeal/policy/graphs/fitting.py
@@ -18,6 +18,7 @@
     return (
         worker.reachable
         and not worker.leaving
+        and not worker.foreign_runs
         and worker.service == unit.job.record.service
         and worker.zone not in state.zones_out
         and (not unit.spec.label or unit.spec.label in worker.labels)
--- a/packages/policy/src/samphiredeal/policy/graphs/ordering.py
+++ b/packages/policy/src/samphiredeal/policy/graphs/ordering.py
@@ -5,28 +5,42 @@
 that can no longer earn anything goes last.
 """
 
+from typing import NamedTuple
+
 # Past this many times its objective a job's end is worth nothing to its user.
 _WORTHLESS_FACTOR = 3.0
 
 
-def objective_s(job):
+class Clock(NamedTuple):
+    """The time of day, and how wide the cluster is.
+
+    `waves(job, step)` tells in how many waves a step is expected to run: users
+    do not expect all tasks of a very wide step to run at once.
+    """
+
+    wall_ms: int
+    waves: object
+
+
+def objective_s(job, clock):
     """Return how long after it is due the job's user expects its end."""
     record = job.record
-    chain_s = chain_length_s(record.spec)
+    chain_s = chain_length_s(job, clock)
     return record.stretch * chain_s + record.target_latency_ms / 1000
 
 
-def chain_length_s(spec):
+def chain_length_s(job, clock):
     """Return the longest chain of estimated work in seconds."""
     ends = []
-    for step in spec.steps:
+    for number, step in enumerate(job.record.spec.steps):
         start = max((ends[earlier] for earlier in step.after), default=0.0)
-        ends.append(start + step.estimate_ms / 1000)
+        work_s = step.estimate_ms / 1000 * clock.waves(job, number)
+        ends.append(start + work_s)
     return max(ends)
 
 
 def work_left_s(spec, step):
-    """Return the longest chain from the start of a step to the end."""
+    """Return the longest chain from the start of a step's task to the end."""
     left = [0.0] * len(spec.steps)
     for number in range(len(spec.steps) - 1, -1, -1):
         left[number] += spec.steps[number].estimate_ms / 1000
@@ -35,34 +49,33 @@
     return left[step]
 
 
-def latest_start_s(unit, wall_ms):
+def latest_start_s(unit, clock):
     """Return in how many seconds the unit must start to end in time."""
-    job = unit.job
-    age_s = (wall_ms - job.due_ms(unit.occurrence)) / 1000
-    left_s = work_left_s(job.record.spec, unit.step)
-    return objective_s(job) - age_s - left_s
+    return objective_s(unit.job, clock) - _end_if_started_s(unit, clock)
 
 
-def is_worthless(unit, wall_ms):
+def is_worthless(unit, clock):
     """Return whether the unit can no longer end within a useful time."""
+    limit_s = _WORTHLESS_FACTOR * objective_s(unit.job, clock)
+    return _end_if_started_s(unit, clock) > limit_s
+
+
+def _end_if_started_s(unit, clock):
+    """Return the age at which the job ends if the unit starts now."""
     job = unit.job
-    age_s = (wall_ms - job.due_ms(unit.occurrence)) / 1000
-    left_s = work_left_s(job.record.spec, unit.step)
-    return age_s + left_s > _WORTHLESS_FACTOR * objective_s(job)
+    age_s = (clock.wall_ms - job.due_ms(unit.occurrence)) / 1000
+    return age_s + work_left_s(job.record.spec, unit.step)
 
 
-def rank(unit, covered, wall_ms):
+def rank(unit, covered, clock):
     """Return a sort key; `covered` says that a guarantee pays for the unit."""
     job = unit.job
-    if unit.spec.lasting:
-        slack_s = 0.0
-    else:
-        slack_s = latest_start_s(unit, wall_ms)
+    lasting = unit.spec.lasting
     return (
         not covered,
         job.record.priority > 0,
-        is_worthless(unit, wall_ms) and not unit.spec.lasting,
-        slack_s,
+        not lasting and is_worthless(unit, clock),
+        0.0 if lasting else latest_start_s(unit, clock),
         job.record.accepted_ms,
         job.id,
         unit.step,
--- a/packages/policy/src/samphiredeal/policy/graphs/reclaim.py
+++ b/packages/policy/src/samphiredeal/policy/graphs/reclaim.py
@@ -39,7 +39,7 @@
     return _cores(unit) * total_s
 
 
-def find(state, unit, workers, may_displace, now):
+def find(unit, workers, may_displace, now):
     """Return (cost, places, victims) that let the whole unit start soon, or None.
 
     `may_displace(victim)` says which units may be stopped. A unit that works
@@ -53,18 +53,18 @@
         far = len(groups) > 1 and number == len(groups) - 1
         if far and best is not None:
             break
-        found = _find_in(state, unit, group, may_displace, now)
+        found = _find_in(unit, group, may_displace, now)
         if found is not None and (best is None or found[0] < best[0]):
             best = found
     return best
 
 
-def _find_in(state, unit, workers, may_displace, now):
+def _find_in(unit, workers, may_displace, now):
     """Return (cost, places, victims) within a group of workers, or None.
 
     Takes the cheapest next member each time; units already chosen are free.
     """
-    rooms = {worker.name: _room_when_stopped(state, worker) for worker in workers}
+    rooms = {worker.name: _room_when_stopped(unit, worker) for worker in workers}
     places, victims, total = {}, {}, 0.0
     for _member in range(unit.count):
         best = None
@@ -86,9 +86,9 @@
     return total, places, list(victims.values())
 
 
-def _room_when_stopped(state, worker):
+def _room_when_stopped(unit, worker):
     """Return the room on a worker once all that is being stopped is gone."""
-    room = state.available(worker)
+    room = worker.room_for(unit)
     for placement in worker.placements.values():
         if placement.stopping:
             room = room.plus(placement.shape)
--- a/packages/policy/src/samphiredeal/policy/graphs/reports.py
+++ b/packages/policy/src/samphiredeal/policy/graphs/reports.py
@@ -175,7 +175,6 @@
     if not unit.done:
         unit.done = True
         unit.done_at = now
-        unit.claim = {}
     health.note_success(worker, now)
 
 
--- a/packages/policy/src/samphiredeal/policy/graphs/scheduler.py
+++ b/packages/policy/src/samphiredeal/policy/graphs/scheduler.py
@@ -7,7 +7,6 @@
 from typing import NamedTuple
 
 from samphiredeal.model.runs import StartOrder
-from samphiredeal.model.shape import Shape
 from samphiredeal.policy.graphs import fitting, health, ordering, reclaim, records
 from samphiredeal.policy.graphs import reports as reporting
 from samphiredeal.policy.graphs.state import (
@@ -32,6 +31,11 @@
 _STOP_AGAIN_S = 0.5
 # Runs this close to their end are not moved aside.
 _NEARLY_DONE_PERCENT = 90
+# Urgent work beyond a guarantee displaces other work only if it must start within
+# this time to be in time; it may wait for room until then.
+_PRESSING_S = 1.5
+# A step that is wider than this part of the room is expected to run in waves.
+_WAVES_PER_ROOM = 4
 # Urgent work beyond a guarantee may throw away at most this many times its own
 # work. An urgent job in time is worth about this much more than one that is late.
 _URGENT_WORTH = 3.0
@@ -154,11 +158,18 @@
         self._stop_what_should_not_run(now)
         waiting = self._waiting_units(now)
         covered = self._covered_jobs()
+        clock = ordering.Clock(wall_ms, self._waves_function())
         waiting.sort(
-            key=lambda unit: ordering.rank(unit, unit.job.id in covered, wall_ms)
+            key=lambda unit: ordering.rank(unit, unit.job.id in covered, clock)
         )
+        self._drop_dead_claims()
+        blocked = set()
         for unit in waiting:
-            self._place(unit, unit.job.id in covered, now)
+            alike = (unit.job.id, unit.step, tuple(unit.failed_on))
+            if alike in blocked and not unit.job.urgent and not unit.claim:
+                continue
+            if not self._place(unit, unit.job.id in covered, now, clock):
+                blocked.add(alike)
 
     def orders_for(self, worker_name, now, number):
         """Return (starts, stops) that are due to be sent to a worker's agent."""
@@ -238,7 +249,9 @@
             and fitting.allowed(self, unit, other)
             and health.suspicion(other) < 1.0
         ]
-        places = fitting.find(unit, others, self.available, self._far_factor)
+        places = fitting.find(
+            unit, others, lambda other: other.room_for(unit), self._far_factor
+        )
         return places is not None
 
     def _is_incomplete(self, unit, now):
@@ -302,29 +315,44 @@
                 covered.add(job.id)
         return covered
 
-    def available(self, worker, unit=None):
-        """Return the room that a unit may use: free and not claimed by others."""
-        room = worker.free
-        if worker.foreign_runs:
-            return Shape()
-        for claimant, count in self._claims.get(worker.name, ()):
-            if claimant is not unit:
-                room = room.minus(claimant.room.times(count))
-        return room
-
-    @property
-    def _claims(self):
-        """Units that room is being made for, by worker."""
-        claims = {}
-        for job in self.jobs.values():
-            if not job.active:
-                continue
-            for unit in job.units.values():
-                for name, count in unit.claim.items():
-                    claims.setdefault(name, []).append((unit, count))
-        return claims
-
-    def _place(self, unit, covered, now):
+    def _claim(self, unit, places):
+        """Keep room for a unit on the workers named; none if empty."""
+        for name in unit.claim:
+            worker = self.workers.get(name)
+            if worker is not None:
+                worker.claims.pop(unit, None)
+        unit.claim = dict(places)
+        for name, count in places.items():
+            self.workers[name].claims[unit] = count
+
+    def _drop_dead_claims(self):
+        """Give back the room kept for units that do not wait any more."""
+        for worker in self.workers.values():
+            for unit in list(worker.claims):
+                if unit.done or not unit.job.active:
+                    self._claim(unit, {})
+
+    def _waves_function(self):
+        """Return the function for `ordering.Clock`, good for one plan."""
+        known = {}
+
+        def waves(job, number):
+            spec = job.record.spec.steps[number]
+            key = (job.record.service, spec.shape, spec.count)
+            if key not in known:
+                room = sum(
+                    spec.shape.copies_in(worker.capacity)
+                    for worker in self.workers.values()
+                    if worker.service == job.record.service and worker.reachable
+                )
+                quarter = max(1, room // _WAVES_PER_ROOM)
+                known[key] = -(-spec.count // quarter)
+            return known[key]
+
+        return waves
+
+    def _place(self, unit, covered, now, clock):
+        """Place a unit, or make room for it; return whether it was placed."""
         workers = [
             worker
             for worker in self.workers.values()
@@ -333,22 +361,23 @@
         sound = [one for one in workers if not health.is_risky(one, unit)]
         if fitting.could_hold(unit, sound):
             workers = sound
-        unit.claim = {
-            name: count
-            for name, count in unit.claim.items()
-            if any(worker.name == name for worker in workers)
-        }
+        if unit.claim and not unit.claim.keys() <= {one.name for one in workers}:
+            self._claim(unit, {})
 
         def room_of(worker):
-            return self.available(worker, unit)
+            return worker.room_for(unit)
 
         places = fitting.find(unit, workers, room_of, self._far_factor)
         if places is None and self._may_go_far(unit, workers, now):
             places = fitting.find(_Anywhere(unit), workers, room_of, self._far_factor)
         if places is not None:
             self._start(unit, places, now)
-        elif unit.job.urgent and not unit.claim:
-            self._reclaim(unit, workers, covered, now)
+            return True
+        if unit.job.urgent and not unit.claim:
+            pressing = ordering.latest_start_s(unit, clock) < _PRESSING_S
+            if covered or pressing:
+                self._reclaim(unit, workers, covered, now)
+        return False
 
     def _may_go_far(self, unit, workers, now):
         """Return whether a gang may be split over racks by now."""
@@ -362,7 +391,7 @@
 
     def _start(self, unit, places, now):
         unit.run += 1
-        unit.claim = {}
+        self._claim(unit, {})
         names = [name for name, count in places.items() for _ in range(count)]
         for index, name in zip(unit.indexes, names, strict=True):
             worker = self.workers[name]
@@ -387,24 +416,23 @@
         unit.ready_since = None
 
     def _reclaim(self, unit, workers, covered, now):
+        """Stop other work so that the unit can start soon, if it may."""
+        paid = self._covered_jobs()
+
         def may_displace(victim):
             if victim.done or victim.spec.lasting:
                 return False
             if victim.job.record.priority > unit.job.record.priority:
                 return not _nearly_done(victim)
-            return (
-                covered
-                and victim.job.urgent
-                and victim.job.id not in self._covered_jobs()
-            )
+            return covered and victim.job.urgent and victim.job.id not in paid
 
-        found = reclaim.find(self, unit, workers, may_displace, now)
+        found = reclaim.find(unit, workers, may_displace, now)
         if found is None:
             return
         cost, places, victims = found
         if not covered and cost > _URGENT_WORTH * reclaim.own_work(unit):
             return
-        unit.claim = places
+        self._claim(unit, places)
         for victim in victims:
             self._stop(victim, f"its room is reclaimed for job {unit.job.id}")
 
--- a/packages/policy/src/samphiredeal/policy/graphs/state.py
+++ b/packages/policy/src/samphiredeal/policy/graphs/state.py
@@ -266,6 +266,9 @@
         self.life = ""
         self.service = ""
         self.capacity = NOTHING
+        self.used = NOTHING
+        # Room that is being made here for units: {unit: member count}.
+        self.claims = {}
         self.labels = ()
         self.leaving = False
         self.leaves_at = None
@@ -285,15 +288,22 @@
     @property
     def free(self):
         """The room that no placement takes."""
-        left = self.capacity
-        for placement in self.placements.values():
-            left = left.minus(placement.shape)
-        return left
+        return self.capacity.minus(self.used)
+
+    def room_for(self, unit):
+        """Return the room that a unit may use: free and not claimed by others."""
+        room = self.free
+        for claimant, count in self.claims.items():
+            if claimant is not unit:
+                room = room.minus(claimant.room.times(count))
+        return room
 
     def add(self, placement):
         """Take room for a placement."""
         self.placements[(placement.task, placement.run)] = placement
+        self.used = self.used.plus(placement.shape)
 
     def remove(self, placement):
         """Give the room of a placement back."""
-        self.placements.pop((placement.task, placement.run), None)
+        if self.placements.pop((placement.task, placement.run), None):
+            self.used = self.used.minus(placement.shape)
--- a/packages/policy/tests/test_graph_scheduler.py
+++ b/packages/policy/tests/test_graph_scheduler.py
@@ -199,6 +199,17 @@
     assert len(bench.places("long")) == 1
 
 
+def test_wide_urgent_job_runs_in_waves_rather_than_displace():
+    """A burst of urgent tasks wider than the cluster does not empty it."""
+    bench = Bench(make_workers(4))
+    bench.add(make_record("long", [make_step(2, 8, estimate_ms=20_000)]))
+    bench.step().step(0.1).step(1.0)
+    bench.add(make_record("wide", [make_step(6, 8)], priority=0))
+    bench.step(0.1).step(0.1)
+    assert len(bench.places("long")) == 2
+    assert len(bench.places("wide")) == 2
+
+
 def test_room_that_is_made_is_not_taken_by_others():
     bench = Bench(make_workers(1))
     bench.scheduler.guarantees = {"acct": 8}
