--- a/packages/policy/src/samphiredeal/policy/graphs/health.py
+++ b/packages/policy/src/samphiredeal/policy/graphs/health.py
@@ -21,10 +21,11 @@
 _STALL_LOOKS = 3
 _STALL_PERCENTS = 8
 # A run at less than this share of its siblings' speed is worth starting anew
-# elsewhere if more than half of it is left; workers differ by 1.6 at most.
-_CRAWL_SHARE = 0.35
-_CRAWL_LEFT_MIN = 0.5
-_SIBLINGS_MIN = 2
+# elsewhere if most of it is left. Tasks of a step differ by up to six times on
+# sound workers, so only the slowest of the slow stand out.
+_CRAWL_SHARE = 0.15
+_CRAWL_LEFT_MIN = 0.6
+_SIBLINGS_MIN = 3
 _STALL_MEMORY_S = 6.0
 
 
--- a/packages/policy/src/samphiredeal/policy/graphs/state.py
+++ b/packages/policy/src/samphiredeal/policy/graphs/state.py
@@ -20,7 +20,7 @@
 LISTED = "listed"
 
 # A run's speed is judged after it was watched for this long.
-_SPEED_WATCH_S = 2.0
+_SPEED_WATCH_S = 4.0
 
 
 class Placement:
