--- a/packages/cli/src/samphiredeal/cli/platform_roles.py
+++ b/packages/cli/src/samphiredeal/cli/platform_roles.py
@@ -5,7 +5,7 @@
 import time
 
 import msgspec
-from eliot import log_message
+from eliot import add_destinations, log_message
 from twisted.internet import reactor
 from twisted.internet.defer import ensureDeferred
 from twisted.internet.task import deferLater
@@ -39,18 +39,12 @@
         time.time,
         random.Random(),
     )
-    metrics = ProcessMetrics("entry", settings.node)
-
-    async def answer(call):
-        began_at = clock.seconds()
-        reply = await entry.intake.answer(call)
-        metrics.answered(call.verb, reply.kind, clock.seconds() - began_at)
-        return reply
+    metrics = _count_logs("entry", settings)
 
     def begin():
         _listen(
             settings.callers_address,
-            service_http.CallerResource(answer, lambda: entry.stopping),
+            service_http.CallerResource(entry.intake.answer, lambda: entry.stopping),
         )
         _listen(
             settings.readiness_address,
@@ -90,7 +84,7 @@
         ),
         settings.bounds.lease_max_s,
     )
-    metrics = ProcessMetrics("agent", settings.node)
+    metrics = _count_logs("agent", settings)
 
     def on_heartbeat(fields):
         agent.keeper.heartbeat(fields.facts, fields.sequence)
@@ -130,6 +124,13 @@
     return settings, reactor
 
 
+def _count_logs(role, settings):
+    """Return metrics that are fed from this process's log."""
+    metrics = ProcessMetrics(role, settings.node)
+    add_destinations(metrics.count)
+    return metrics
+
+
 def _listen(address, resource):
     host, _, port = address.rpartition(":")
     site = service_http.make_site(resource)
--- a/packages/entry/src/samphiredeal/entry/metrics.py
+++ b/packages/entry/src/samphiredeal/entry/metrics.py
@@ -1,6 +1,6 @@
 """Metrics of an entry, in one registry, rendered for Prometheus."""
 
-from aioprometheus import Counter, Gauge, Registry, Summary
+from aioprometheus import Counter, Gauge, Histogram, Registry, Summary
 from aioprometheus.formats import text
 
 
@@ -55,26 +55,59 @@
         return text.TextFormatter().marshall(self._registry)
 
 
+# Bounds of latency histograms, in seconds: from a store's answer to the longest
+# wait of an urgent job that is still of use.
+_LATENCY_BOUNDS_S = [0.005, 0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 1.0, 2.5, 5.0, 10.0]
+# Log messages that carry a duration: (field, seconds in one unit, histogram).
+_DURATIONS = {
+    "call_answered": ("took_ms", 0.001, "call"),
+    "run_start": ("took_ms", 0.001, "start"),
+    "unit_placed": ("waited_s", 1.0, "wait"),
+}
+_COUNTED_FIELDS = ("verb", "answer", "how", "outcome")
+
+
 class ProcessMetrics:
-    """Counters and a latency summary of a process on the platform."""
+    """Counters and latency histograms of a process, fed from its log.
+
+    `count(message)` takes a log message, so that whatever is logged is counted
+    too, and a rise of a counter leads to the lines behind it.
+    """
 
     def __init__(self, role, name):
         labels = {"role": role, "name": name}
         self._registry = Registry()
-        self._calls = Counter(
-            "samphiredeal_calls_total", "Calls by answer", labels, self._registry
-        )
-        self._latency = Summary(
-            "samphiredeal_call_seconds",
-            "Time from call to answer",
-            labels,
-            self._registry,
+        self._events = Counter(
+            "samphiredeal_events_total", "Log messages", labels, self._registry
         )
+        self._latencies = {
+            short: Histogram(
+                f"samphiredeal_{short}_seconds",
+                help_text,
+                labels,
+                self._registry,
+                buckets=_LATENCY_BOUNDS_S,
+            )
+            for short, help_text in (
+                ("call", "Time from a caller's call to its answer"),
+                ("start", "Time from an order to start to the worker's answer"),
+                ("wait", "Time for which a unit of work waited for room"),
+            )
+        }
 
-    def answered(self, verb, answer, seconds):
-        """Count an answered call."""
-        self._calls.inc({"verb": verb, "answer": answer})
-        self._latency.observe({"verb": verb}, seconds)
+    def count(self, message):
+        """Count a log message, and take its duration if it has one."""
+        event = message.get("message_type")
+        if event is None:
+            return
+        labels = {"event": event}
+        for field in _COUNTED_FIELDS:
+            if field in message:
+                labels[field] = str(message[field])
+        self._events.inc(labels)
+        if event in _DURATIONS:
+            field, unit_s, short = _DURATIONS[event]
+            self._latencies[short].observe({}, message[field] * unit_s)
 
     def render(self):
         """Return the metrics in the text format."""
