--- a/packages/policy/src/samphiredeal/policy/graphs/scheduler.py
+++ b/packages/policy/src/samphiredeal/policy/graphs/scheduler.py
@@ -31,8 +31,8 @@
 _STOP_AGAIN_S = 0.5
 # Runs this close to their end are not moved aside.
 _NEARLY_DONE_PERCENT = 90
-# Urgent work beyond a guarantee displaces other work only if it must start within
-# this time to be in time; it may wait for room until then.
+# A wide urgent step beyond its guarantee displaces other work only for members
+# that must start within this time; estimates are too rough to let others wait.
 _PRESSING_S = 1.5
 # A step that is wider than this part of the room is expected to run in waves.
 _WAVES_PER_ROOM = 4
@@ -374,8 +374,9 @@
             self._start(unit, places, now)
             return True
         if unit.job.urgent and not unit.claim:
+            narrow = clock.waves(unit.job, unit.step) == 1
             pressing = ordering.latest_start_s(unit, clock) < _PRESSING_S
-            if covered or pressing:
+            if covered or narrow or pressing:
                 self._reclaim(unit, workers, covered, now)
         return False
 
