Ask for tickets where a queue's steps may run only on some workers

The scheduler asks the advice service one question at a time, for the waiting unit that ranks first, and never again about a worker that may not run the step; tickets lapse with time and with the worker's life.

--- a/packages/cli/src/samphiredeal/cli/platform_roles.py
+++ b/packages/cli/src/samphiredeal/cli/platform_roles.py
@@ -13,6 +13,7 @@
 from samphiredeal.cli import runtime
 from samphiredeal.entry.metrics import ProcessMetrics
 from samphiredeal.platform import service_http
+from samphiredeal.platform.advice import AdviceCalls
 from samphiredeal.platform.client import HttpPlatform, HttpTable
 from samphiredeal.platform.operator import OPERATOR_TABLE
 from samphiredeal.platform.settings import read_settings
@@ -38,6 +39,7 @@
         settings.bounds,
         time.time,
         random.Random(),
+        _advice(settings, clock),
     )
     metrics = _count_logs("entry", settings)
 
@@ -124,6 +126,14 @@
     return settings, reactor
 
 
+def _advice(settings, clock):
+    """Return the calls to the advice service, or None where there is none."""
+    if not settings.advice_address:
+        return None
+    address = f"http://{settings.advice_address}"
+    return AdviceCalls(HttpPlatform(reactor, address, clock=clock))
+
+
 def _count_logs(role, settings):
     """Return metrics that are fed from this process's log."""
     metrics = ProcessMetrics(role, settings.node)
--- a/packages/entry/src/samphiredeal/entry/graphs/dispatcher.py
+++ b/packages/entry/src/samphiredeal/entry/graphs/dispatcher.py
@@ -6,6 +6,7 @@
 
 from eliot import log_message
 from twisted.internet.defer import ensureDeferred
+from twisted.internet.task import deferLater
 
 from samphiredeal.entry.graphs import work
 from samphiredeal.entry.graphs.sessions import Sessions
@@ -14,6 +15,7 @@
     Condition,
     Conflict,
     Put,
+    Unavailable,
     within,
 )
 from samphiredeal.policy.graphs import records
@@ -25,6 +27,10 @@
 # Jobs in one transaction: three entries each, of the hundred allowed.
 _JOBS_PER_WRITE = 30
 _STORE_PAUSE_S = 0.15
+# What a question to the advice service may take beyond its own time, and the
+# pause after one without an answer.
+_ADVICE_SLACK_S = 1.0
+_ADVICE_PAUSE_S = 0.5
 # A write without an answer is repeated after this; a store that is slowed
 # ninetyfold takes 0.5 s.
 _WRITE_S = 0.7
@@ -56,6 +62,7 @@
         self._committing = False
         self._store_ready_at = 0.0
         self._checkpoints_at = self._clock.seconds()
+        self._asking = False
         self._ended = False
         self._timer = None
 
@@ -131,6 +138,38 @@
             )
         self._commit()
         self._sessions.send_orders()
+        self._ask_advice()
+
+    # Advice
+
+    def _ask_advice(self):
+        """Ask the question of the last plan; one at a time."""
+        question = None if self._asking else self._scheduler.take_question()
+        if question is not None and self._host.advice is not None:
+            self._asking = True
+            ensureDeferred(self._ask(question)).addErrback(self._failed)
+
+    async def _ask(self, question):
+        asked_at = self._clock.seconds()
+        terms = question.terms
+        takes_s = terms.decision_s + terms.per_worker_s * len(question.worker_ids)
+        answer = await self._host.advice.ask(
+            question.step, question.worker_ids, takes_s + _ADVICE_SLACK_S
+        )
+        log_message(
+            message_type="advice",
+            step=question.step,
+            asked=len(question.worker_ids),
+            good=len(getattr(answer, "tickets", ())),
+            reason=getattr(answer, "reason", ""),
+            took_ms=round((self._clock.seconds() - asked_at) * 1000, 1),
+        )
+        if isinstance(answer, Unavailable):
+            await deferLater(self._clock, _ADVICE_PAUSE_S)
+        else:
+            self._scheduler.advised(question, answer.tickets, answer.valid_s, asked_at)
+        self._asking = False
+        self.wake()
 
     # Storing
 
--- a/packages/entry/src/samphiredeal/entry/graphs/intake.py
+++ b/packages/entry/src/samphiredeal/entry/graphs/intake.py
@@ -132,6 +132,7 @@
             target_latency_ms=queue.target_latency_ms,
             accepted_ms=int(self._wall() * 1000),
             spec=spec,
+            advice=queue.advice,
         )
         key = work.job_key(job_id)
         answer = await self._write(
--- a/packages/entry/src/samphiredeal/entry/graphs/node.py
+++ b/packages/entry/src/samphiredeal/entry/graphs/node.py
@@ -45,15 +45,26 @@
     far_factor: float
     lease_wait_s: float
     state_kept_s: float
+    advice: object = None
 
 
 class GraphEntry:
     """One entry. `table` holds the system's rows, `operator_table` the
-    operator's; `connect(address)` returns a Deferred of a link.
+    operator's; `connect(address)` returns a Deferred of a link. `advice` asks
+    which workers may run a step, where queues need that.
     """
 
     def __init__(
-        self, clock, name, table, operator_table, connect, bounds, wall, random
+        self,
+        clock,
+        name,
+        table,
+        operator_table,
+        connect,
+        bounds,
+        wall,
+        random,
+        advice=None,
     ):
         self._clock = clock
         self._operations = OperationsView(self._changed)
@@ -98,6 +109,7 @@
             bounds.far_factor,
             lease_wait_s(bounds.lease_max_s),
             bounds.state_kept_s + 30.0,
+            advice,
         )
         self._grace_s = bounds.stop_grace_s
         self._dispatcher = None
--- a/packages/model/src/samphiredeal/model/graph.py
+++ b/packages/model/src/samphiredeal/model/graph.py
@@ -9,6 +9,7 @@
 
 from typing import NamedTuple
 
+from samphiredeal.model.operations import AdviceTerms
 from samphiredeal.model.shape import Shape
 
 # Far above the largest job at the target size (128 members, 7,700 tasks).
@@ -71,7 +72,8 @@
     """An accepted job as it is stored; it never changes.
 
     Attributes of the queue are kept as they were when the job was accepted.
-    `accepted_ms` is Unix time by the accepting entry's clock.
+    `accepted_ms` is Unix time by the accepting entry's clock. With `advice` a
+    worker runs a step of the job only with a ticket.
     """
 
     id: str
@@ -84,6 +86,7 @@
     target_latency_ms: int
     accepted_ms: int
     spec: GraphSpec
+    advice: AdviceTerms | None = None
 
 
 class TaskName(NamedTuple):
--- a/packages/model/src/samphiredeal/model/operations.py
+++ b/packages/model/src/samphiredeal/model/operations.py
@@ -3,6 +3,14 @@
 from typing import NamedTuple
 
 
+class AdviceTerms(NamedTuple):
+    """How long a question about a step takes, and how long its tickets last."""
+
+    decision_s: float
+    per_worker_s: float
+    valid_s: float
+
+
 class Queue(NamedTuple):
     """A named queue of jobs that callers reach by host and path prefix."""
 
@@ -15,6 +23,7 @@
     stretch: float = 1.0
     target_latency_ms: int = 0
     public: bool = False
+    advice: AdviceTerms | None = None
 
 
 class ClientAccount(NamedTuple):
--- /dev/null
+++ b/packages/platform/src/samphiredeal/platform/advice.py
@@ -0,0 +1,39 @@
+"""Calls to the service that knows which workers may run a step."""
+
+from typing import NamedTuple
+
+import msgspec
+
+from samphiredeal.platform.table import Unavailable
+
+
+class Advice(NamedTuple):
+    """Tickets by worker id, good for `valid_s` seconds; others may not run it."""
+
+    tickets: dict
+    valid_s: float
+
+
+class AdviceCalls:
+    """The calls to the advice service over an `HttpPlatform`."""
+
+    def __init__(self, http):
+        self._http = http
+
+    async def ask(self, step, worker_ids, timeout_s):
+        """Return the `Advice` for a step on these workers, or an `Unavailable`."""
+        body = msgspec.json.encode({"step": step, "workers": list(worker_ids)})
+        answer = await self._http.call(
+            b"POST", b"/api/advise", body, timeout_s=timeout_s
+        )
+        if isinstance(answer, Unavailable):
+            return answer
+        status, data = answer
+        if status != 200:
+            return Unavailable(f"status {status}", not_applied=True)
+        try:
+            fields = msgspec.json.decode(data)
+            tickets = {str(row[0]): str(row[1]) for row in fields["good"]}
+            return Advice(tickets, float(fields["validity-ms"]) / 1000)
+        except (msgspec.DecodeError, KeyError, TypeError, IndexError) as error:
+            return Unavailable(f"unreadable advice: {type(error).__name__}: {error}")
--- a/packages/platform/src/samphiredeal/platform/client.py
+++ b/packages/platform/src/samphiredeal/platform/client.py
@@ -192,7 +192,7 @@
     async def _snapshot(self):
         rows, start, version, store_ms = [], "", None, 0
         while True:
-            answer = await self._page(start, "", _PAGE_ROWS)
+            answer = await self._page(start, "", _PAGE_ROWS, _CHANGES_TIMEOUT_S)
             if isinstance(answer, Unavailable):
                 return answer
             page = _rows(answer)
@@ -219,14 +219,14 @@
             return HistoryLost(body.get("ver", after))
         return Changes(_rows(body), body["ver"], body.get("now-ms", 0))
 
-    async def _page(self, start, end, limit):
+    async def _page(self, start, end, limit, timeout_s=CALL_TIMEOUT_S):
         path = (
             f"/api/rows-get?table={quote(self._table)}&part={quote(self._part)}"
             f"&from={quote(start)}&limit={limit}"
         )
         if end:
             path += f"&to={quote(end)}"
-        answer = await self._platform.call(b"GET", path.encode())
+        answer = await self._platform.call(b"GET", path.encode(), timeout_s=timeout_s)
         return _body(answer, (200,))
 
     async def _write(self, conditions, puts, deletes):
--- a/packages/platform/src/samphiredeal/platform/operator.py
+++ b/packages/platform/src/samphiredeal/platform/operator.py
@@ -2,7 +2,7 @@
 
 import msgspec
 
-from samphiredeal.model.operations import ClientAccount, Operations, Queue
+from samphiredeal.model.operations import AdviceTerms, ClientAccount, Operations, Queue
 
 # The table that only the operator writes.
 OPERATOR_TABLE = "op"
@@ -49,6 +49,18 @@
         stretch=float(route.get("stretch", 1.0)),
         target_latency_ms=int(route.get("target-latency-ms", 0)),
         public=bool(route.get("public", False)),
+        advice=_advice(route.get("advice")),
+    )
+
+
+def _advice(terms):
+    if not terms:
+        return None
+    return AdviceTerms(
+        decision_s=terms.get("decision-ms", 0) / 1000,
+        # Named a period there: the time that each worker named adds.
+        per_worker_s=terms.get("period-ms", 0) / 1000,
+        valid_s=terms.get("validity-ms", 0) / 1000,
     )
 
 
--- a/packages/policy/src/samphiredeal/policy/graphs/fitting.py
+++ b/packages/policy/src/samphiredeal/policy/graphs/fitting.py
@@ -23,6 +23,7 @@
         and worker.zone not in state.zones_out
         and (not unit.spec.label or unit.spec.label in worker.labels)
         and not _would_disturb(unit, worker)
+        and not state.tickets.is_refused(unit, worker)
     )
 
 
--- a/packages/policy/src/samphiredeal/policy/graphs/reports.py
+++ b/packages/policy/src/samphiredeal/policy/graphs/reports.py
@@ -59,6 +59,7 @@
         worker.life = facts.life
         worker.failures, worker.successes = [], []
         worker.stalled_at = None
+    worker.id = facts.id
     worker.service = facts.service
     worker.zone = facts.zone
     worker.capacity = facts.capacity
@@ -217,6 +218,8 @@
     unit = placement.unit
     unit.job.dirty = True
     health.note_refusal(worker, refused.reason, now)
+    if refused.reason == runs.NO_TICKET:
+        state.tickets.drop(unit, worker)
     _stop_rest(unit, f"a member of its gang was refused: {refused.reason}")
     unit.job.settle(now)
 
--- a/packages/policy/src/samphiredeal/policy/graphs/scheduler.py
+++ b/packages/policy/src/samphiredeal/policy/graphs/scheduler.py
@@ -17,6 +17,7 @@
     Placement,
     WorkerState,
 )
+from samphiredeal.policy.graphs.tickets import Tickets
 
 # Longest wait for the rack that suits a unit best while others are free.
 _NEAR_WAIT_MAX_S = 2.0
@@ -58,6 +59,8 @@
         self.workers = {}
         self.zones_out = frozenset()
         self.guarantees = {}
+        self.tickets = Tickets()
+        self._question = None
 
     # What the host tells
 
@@ -82,6 +85,7 @@
     def forget_job(self, job_id):
         """Drop an ended job and its state."""
         self.jobs.pop(job_id, None)
+        self.tickets.forget_job(job_id)
 
     def add_worker(self, name, zone):
         """Note a worker that an agent has announced."""
@@ -146,8 +150,20 @@
                     unit.stored_checkpoint = unit.checkpoint
                     job.dirty = True
 
+    def take_question(self):
+        """Return the `Question` that the last plan would ask first, or None."""
+        question, self._question = self._question, None
+        return question
+
+    def advised(self, question, tickets, valid_s, asked_at):
+        """Take in the tickets that answer a question."""
+        lives = {worker.id: worker.life for worker in self.workers.values()}
+        self.tickets.answer(question, lives, tickets, valid_s, asked_at)
+
     def plan(self, now, wall_ms):
         """Decide starts and stops; they show as placements of the workers."""
+        self.tickets.now = now
+        self._question = None
         for worker in self.workers.values():
             health.forget(worker, now)
         for job in self.jobs.values():
@@ -186,7 +202,8 @@
             elif placement.status == ORDERED and placement.sent_at is None:
                 placement.sent_at = now
                 placement.order_number = number
-                starts.append(_start_order(placement))
+                ticket = self.tickets.text_for(placement.unit, worker)
+                starts.append(_start_order(placement, ticket))
         stops += [(run.task, run.run) for run in worker.foreign_runs]
         return starts, stops
 
@@ -361,6 +378,8 @@
         sound = [one for one in workers if not health.is_risky(one, unit)]
         if fitting.could_hold(unit, sound):
             workers = sound
+        if unit.job.record.advice is not None:
+            workers = self._ticketed(unit, workers)
         if unit.claim and not unit.claim.keys() <= {one.name for one in workers}:
             self._claim(unit, {})
 
@@ -380,6 +399,15 @@
                 self._reclaim(unit, workers, covered, now)
         return False
 
+    def _ticketed(self, unit, workers):
+        """Return the workers with a ticket; ask about the others if needed."""
+        ready = [one for one in workers if self.tickets.allow(unit, one)]
+        free = [one for one in ready if fitting.copies_in(unit, one, one.free)]
+        if self._question is None and len(free) < unit.count:
+            by_room = sorted(workers, key=lambda one: one.free, reverse=True)
+            self._question = self.tickets.question(unit, by_room)
+        return ready
+
     def _may_go_far(self, unit, workers, now):
         """Return whether a gang may be split over racks by now."""
         if not (unit.spec.one_rack and unit.spec.gang):
@@ -445,11 +473,10 @@
     )
 
 
-def _start_order(placement):
+def _start_order(placement, ticket):
     unit = placement.unit
-    return StartOrder(
-        placement.task, placement.run, unit.job.record.spec.payload, unit.checkpoint
-    )
+    payload = unit.job.record.spec.payload
+    return StartOrder(placement.task, placement.run, payload, unit.checkpoint, ticket)
 
 
 class _Anywhere:
--- a/packages/policy/src/samphiredeal/policy/graphs/state.py
+++ b/packages/policy/src/samphiredeal/policy/graphs/state.py
@@ -263,6 +263,7 @@
     def __init__(self, name, zone):
         self.name = name
         self.zone = zone
+        self.id = ""
         self.life = ""
         self.service = ""
         self.capacity = NOTHING
--- /dev/null
+++ b/packages/policy/src/samphiredeal/policy/graphs/tickets.py
@@ -0,0 +1,97 @@
+"""Tickets for steps that only some workers may run.
+
+Which workers may run a step never changes; a ticket lapses after a while and
+with its worker's life, and is then asked for again.
+"""
+
+from typing import NamedTuple
+
+# A ticket with less time than this left may lapse on the way to the worker.
+_TIME_LEFT_MIN_S = 0.8
+# Asking costs time for each worker; a quarter of a minute at most for a step.
+MAX_WORKERS_ASKED = 30
+
+
+class _Ticket(NamedTuple):
+    text: str
+    life: str
+    expires_at: float
+
+
+class Question(NamedTuple):
+    """Which of these workers may run this step? `terms` tells what it takes."""
+
+    step: str
+    worker_ids: tuple
+    terms: object
+
+
+class Tickets:
+    """What is known of tickets, by step and worker id."""
+
+    def __init__(self):
+        self._tickets = {}
+        self._refused = set()
+        self.now = 0.0
+
+    def text_for(self, unit, worker):
+        """Return the ticket for a unit on a worker, '' if there is none."""
+        ticket = self._tickets.get((step_name(unit), worker.id))
+        if ticket is None or ticket.life != worker.life:
+            return ""
+        return ticket.text if ticket.expires_at > self.now else ""
+
+    def allow(self, unit, worker):
+        """Return whether the unit needs no ticket there or has one in time."""
+        if unit.job.record.advice is None:
+            return True
+        ticket = self._tickets.get((step_name(unit), worker.id))
+        if ticket is None or ticket.life != worker.life:
+            return False
+        return ticket.expires_at - self.now > _TIME_LEFT_MIN_S
+
+    def is_refused(self, unit, worker):
+        """Return whether the worker may never run the unit's step."""
+        return (step_name(unit), worker.id) in self._refused
+
+    def question(self, unit, workers):
+        """Return the `Question` to ask about a unit, or None.
+
+        `workers` are those on which it would be placed, the best first.
+        """
+        open_ids = [
+            worker.id
+            for worker in workers
+            if not self.is_refused(unit, worker) and not self.allow(unit, worker)
+        ]
+        if not open_ids:
+            return None
+        asked = tuple(open_ids[:MAX_WORKERS_ASKED])
+        return Question(step_name(unit), asked, unit.job.record.advice)
+
+    def answer(self, question, lives, tickets, valid_s, asked_at):
+        """Take in the tickets for a question; `lives` maps ids to lives."""
+        for worker_id in question.worker_ids:
+            key = (question.step, worker_id)
+            if worker_id in tickets:
+                life = lives.get(worker_id, "")
+                expires_at = asked_at + valid_s
+                self._tickets[key] = _Ticket(tickets[worker_id], life, expires_at)
+            else:
+                self._refused.add(key)
+
+    def drop(self, unit, worker):
+        """Forget a ticket that the worker did not take."""
+        self._tickets.pop((step_name(unit), worker.id), None)
+
+    def forget_job(self, job_id):
+        """Forget all that concerns a job that has ended."""
+        prefix = job_id + "."
+        for key in [key for key in self._tickets if key[0].startswith(prefix)]:
+            del self._tickets[key]
+        self._refused = {k for k in self._refused if not k[0].startswith(prefix)}
+
+
+def step_name(unit):
+    """Return the name of a unit's step in its occurrence."""
+    return f"{unit.job.id}.{unit.occurrence}.{unit.step}"
--- a/packages/policy/tests/test_graph_scheduler.py
+++ b/packages/policy/tests/test_graph_scheduler.py
@@ -11,6 +11,7 @@
 
 from samphiredeal.model import runs
 from samphiredeal.model.graph import GraphSpec, fault_of
+from samphiredeal.model.operations import AdviceTerms
 from samphiredeal.model.runs import Ended, Refused, Running
 from samphiredeal.policy.graphs import health, records
 from samphiredeal.policy.graphs.state import COMPLETED, FAILED
@@ -382,6 +383,31 @@
     assert bench.places("f") == []
 
 
+def test_step_that_needs_tickets_starts_only_with_one():
+    bench = Bench(make_workers(3))
+    terms = AdviceTerms(0.1, 0.01, 3.0)
+    bench.add(make_record("a", advice=terms))
+    bench.step()
+    assert bench.places("a") == []
+    question = bench.scheduler.take_question()
+    assert question.step == "a.0.0" and len(question.worker_ids) == 3
+    bench.scheduler.advised(question, {"i-w2": "t"}, 3.0, bench.now)
+    bench.step()
+    assert bench.places("a") == ["w2"]
+    assert bench.scheduler.take_question() is None
+
+
+def test_lapsed_ticket_is_asked_for_again_but_not_of_refused_workers():
+    bench = Bench(make_workers(3))
+    bench.add(make_record("a", [make_step(1, 8)], advice=AdviceTerms(0.1, 0.01, 1.0)))
+    bench.step()
+    question = bench.scheduler.take_question()
+    bench.scheduler.advised(question, {"i-w2": "t"}, 1.0, bench.now)
+    bench.step(2.0)
+    assert bench.places("a") == []
+    assert bench.scheduler.take_question().worker_ids == ("i-w2",)
+
+
 def test_lasting_work_is_started_anew_however_it_ends():
     bench = Bench(make_workers())
     bench.add(make_record("a", [make_step(1, lasting=True)], max_attempts=1))
