--- a/packages/agent/src/samphiredeal/agent/graphs/keeper.py
+++ b/packages/agent/src/samphiredeal/agent/graphs/keeper.py
@@ -17,6 +17,8 @@
 # A look waits this long for a run to end; it also sets how often leases are
 # extended and progress is reported.
 LOOK_WAIT_S = 0.8
+# The same while leases may not be extended, so that regained trust counts at once.
+_UNTRUSTED_WAIT_S = 0.1
 # A start that the worker has not taken in by then is refused by it as late.
 START_VALID_S = 2.5
 # Without an answer a start is sent again after the first, given up after the
@@ -291,7 +293,7 @@
         self._note_trust(trusted)
         deadline_ms, wait_s = None, 0.0
         if self._worker_clock is not None:
-            wait_s = LOOK_WAIT_S
+            wait_s = LOOK_WAIT_S if trusted else _UNTRUSTED_WAIT_S
             if trusted:
                 deadline_ms = self._worker_now_ms() + int(self._lease_max_s * 1000)
         began_at = self._clock.seconds()
--- a/packages/platform/src/samphiredeal/platform/memory_worker.py
+++ b/packages/platform/src/samphiredeal/platform/memory_worker.py
@@ -146,6 +146,9 @@
             if task.timer is not None and task.timer.active():
                 task.timer.cancel()
             self._watch("end", self, task.name, task.run, "crashed")
+        looking, self._looking = self._looking, []
+        for looked in looking:
+            looked.callback(_nobody())
         self.__init__(
             self.clock,
             self.facts._replace(born_ms=self.facts.born_ms + 1),
