--- a/Makefile
+++ b/Makefile
@@ -14,6 +14,7 @@
 
 demo: $(READY)
 	$(PYTHON) -m samphiredeal.standins.demo
+	$(PYTHON) -m samphiredeal.standins.graph_demo
 
 test: $(READY)
 	$(PYTHON) -m pytest
--- a/packages/platform/src/samphiredeal/platform/executor.py
+++ b/packages/platform/src/samphiredeal/platform/executor.py
@@ -27,6 +27,8 @@
     "room": runs.NO_ROOM,
     "ticket": runs.NO_TICKET,
 }
+# The reverse, for stand-ins.
+WHY_NAMES = {reason: name for name, reason in _WHY.items()}
 _LEAVING_STATE = "draining"
 
 
@@ -186,6 +188,23 @@
         raise ValueError(f"heartbeat: {type(error).__name__}: {error}") from error
 
 
+def encode_heartbeat(facts, sequence):
+    """Return the body of a heartbeat, as a worker sends it."""
+    cpu, memory_mb, accelerators = facts.capacity
+    return msgspec.json.encode(
+        {
+            "service": facts.service,
+            "zone": facts.zone,
+            "state": _LEAVING_STATE if facts.leaving else "ready",
+            "remaining-ms": facts.leaving_in_ms,
+            "capacity": {"cpu": cpu, "mem-mb": memory_mb, "gpu": accelerators},
+            "labels": list(facts.labels),
+            "born": facts.born_ms,
+            "sequence": sequence,
+        }
+    )
+
+
 def _whole(document, name, default):
     value = document.get(name, default)
     if type(value) is float and value.is_integer():
--- /dev/null
+++ b/packages/standins/src/samphiredeal/standins/graph_cluster.py
@@ -0,0 +1,187 @@
+"""A small system on the stand-in platform, in separate processes.
+
+Settings files have the platform's format and are announced as there, so every
+process starts as it does on the users' VMs.
+"""
+
+import base64
+import json
+import os
+import urllib.error
+import urllib.request
+from typing import NamedTuple
+
+from samphiredeal.platform.settings import SETTINGS_VARIABLE
+from samphiredeal.standins.launch import (
+    HOST,
+    STARTUP_S,
+    LocalCluster,
+    free_port,
+    wait_for,
+)
+
+CALLERS_HOST = "desk.example"
+KEY = "hall-key"
+_CALL_TIMEOUT_S = 5.0
+_BOUNDS = {
+    "config-apply-ms": 2000,
+    "max-stretch-ms": 5000,
+    "drain-ms": 2000,
+    "grace-s": 6,
+    "max-hold-ms": 6000,
+    "stop-timeout-ms": 200,
+    "gang-timeout-ms": 3000,
+    "status_s": 120,
+    "remote-factor": 3,
+}
+
+
+class Reply(NamedTuple):
+    """A status, 0 if there was no answer, and a decoded body."""
+
+    status: int
+    document: dict
+
+
+class GraphCluster(LocalCluster):
+    """Entries and agents of the users' platform; see `LocalCluster`."""
+
+    def __init__(self, folder, program=None):
+        super().__init__(folder, program)
+        self._callers = {}
+        self._ready = {}
+        self._version = 0
+        self._commands = {}
+
+    @property
+    def entries(self):
+        """The names of the entries."""
+        return list(self._callers)
+
+    def graph_entry(self, name, zone):
+        """Start an entry."""
+        ports = [free_port() for _ in range(2)]
+        self._callers[name], self._ready[name] = ports
+        listen = {"frontend": f"{HOST}:{ports[0]}", "readiness": f"{HOST}:{ports[1]}"}
+        self._on_platform(name, "entry", zone, {"listen-addresses": listen})
+
+    def graph_worker(self, name, zone, rack="r1", accelerators=8):
+        """Start a worker and the agent beside it."""
+        control = f"{HOST}:{free_port()}"
+        self.standin(
+            "graph-worker",
+            name,
+            zone=zone,
+            rack=rack,
+            accelerators=accelerators,
+            agent_address=control,
+        )
+        extra = {
+            "listen-addresses": {"control": control},
+            "app": f"{HOST}:{self._ports[name]}",
+        }
+        self._on_platform(f"agent-{name}", "agent", zone, extra)
+
+    def start_again(self, name):
+        """Start a process again with its old settings."""
+        role, document = self._commands[name]
+        command = [*self._program, role]
+        self._start(name, command, document, SETTINGS_VARIABLE)
+
+    def configure(self, keys=(KEY,), guaranteed=0):
+        """Write the next version of the configuration."""
+        self._version += 1
+        routes = [
+            {
+                "name": name,
+                "host": CALLERS_HOST,
+                "path-prefix": f"/{name}/",
+                "service": "desk",
+                "priority": priority,
+                "max-attempts": 2,
+                "stretch": 3.0,
+                "target-latency-ms": 1000,
+            }
+            for name, priority in (("urgent", 0), ("normal", 1))
+        ]
+        tenant = {"name": "hall", "api-keys": list(keys)}
+        tenant["guaranteed"] = {"gpu": guaranteed}
+        document = {"version": self._version, "routes": routes, "tenants": [tenant]}
+        self.write_operator_row("config", document)
+
+    def write_operator_row(self, key, document):
+        """Write a row as the operator does."""
+        value = base64.b64encode(json.dumps(document).encode()).decode()
+        put = {"table": "op", "part": "", "key": key, "value": value}
+        body = {"expected": [], "puts": [put], "remove": []}
+        url = self.url_of("platform") + "/api/rows-tx"
+        return _call(url, "POST", body)
+
+    def call(self, entry, verb, path, document=None, key=KEY):
+        """Make a caller's call; return the `Reply`."""
+        url = f"http://{HOST}:{self._callers[entry]}{path}"
+        headers = {"Host": CALLERS_HOST, "Authorization": f"Token {key}"}
+        return _call(url, verb, document, headers)
+
+    def is_ready(self, entry):
+        """Return whether an entry reports that callers may be sent to it."""
+        url = f"http://{HOST}:{self._ready[entry]}/api/readiness"
+        return _call(url, "GET").status == 200
+
+    def wait_until_ready(self):
+        """Wait until all entries are ready."""
+        for entry in self.entries:
+            wait_for(lambda e=entry: self.is_ready(e), STARTUP_S, f"{entry} is ready")
+
+    def starts(self, worker):
+        """Return how often each task has started on a worker."""
+        return _call(self.url_of(worker) + "/runs", "GET").document
+
+    def scheduler(self):
+        """Return the entry that took over last, by its log, or None."""
+        newest = (0, None)
+        for entry in self.entries:
+            for line in self.log_of(entry).splitlines():
+                if '"scheduler_took_over"' in line:
+                    newest = max(newest, (json.loads(line)["epoch"], entry))
+        return newest[1]
+
+    def _on_platform(self, name, role, zone, extra):
+        base = free_port()
+        document = {
+            "node": name,
+            "zone": zone,
+            "ip": HOST,
+            "internal-ports": [base, base + 15],
+            "bounds": _BOUNDS,
+            "platform": {"address": f"{HOST}:{self._ports['platform']}"},
+            **extra,
+        }
+        self._commands[name] = (role, document)
+        self.start_again(name)
+
+
+def _call(url, method, document=None, headers=None):
+    body = None if document is None else json.dumps(document).encode()
+    request = urllib.request.Request(url, body, headers or {}, method=method)
+    try:
+        with urllib.request.urlopen(request, timeout=_CALL_TIMEOUT_S) as answer:
+            return Reply(answer.status, json.loads(answer.read() or b"{}"))
+    except urllib.error.HTTPError as error:
+        return Reply(error.code, json.loads(error.read() or b"{}"))
+    except OSError:
+        return Reply(0, {})
+
+
+def start_small(folder):
+    """Return a ready system of two entries and three workers."""
+    os.makedirs(folder, exist_ok=True)
+    cluster = GraphCluster(folder)
+    cluster.standin("platform", "platform")
+    cluster.configure()
+    for number, zone in enumerate(("zone-a", "zone-b")):
+        cluster.graph_entry(f"entry-{number}", zone)
+    for number in range(3):
+        cluster.graph_worker(f"worker-{number}", ("zone-a", "zone-b")[number % 2])
+    cluster.wait_until_ready()
+    return cluster
--- /dev/null
+++ b/packages/standins/src/samphiredeal/standins/graph_worker.py
@@ -0,0 +1,128 @@
+"""A stand-in worker of the users' platform: the published calls over HTTP.
+
+Settings: ``host``, ``port``, ``name``, ``zone``, ``rack``, ``accelerators`` and
+``agent_address``, to which heartbeats go. A task's payload says for how many
+seconds it works. Members of a gang do not wait for those on other workers.
+``GET /runs`` tells how often each task has started.
+"""
+
+import collections
+
+import msgspec
+from twisted.internet import reactor
+from twisted.internet.defer import ensureDeferred
+from twisted.internet.task import LoopingCall
+from twisted.web.resource import Resource
+from twisted.web.server import NOT_DONE_YET, Site
+
+from samphiredeal.model.runs import Refused, RunId, StartOrder, WorkerFacts
+from samphiredeal.model.shape import Shape
+from samphiredeal.platform import executor
+from samphiredeal.platform.client import HttpPlatform
+from samphiredeal.platform.memory_worker import MemoryWorker, Work
+from samphiredeal.platform.table import Unavailable
+from samphiredeal.standins import settings
+
+_HEARTBEAT_S = 1.0
+_TIMEOUT_S = 1.0
+_CORES_EACH = 4000
+_MEMORY_EACH = 16_000
+
+
+class WorkerResource(Resource):
+    """Serves the calls of one `MemoryWorker`."""
+
+    isLeaf = True
+
+    def __init__(self, facts):
+        super().__init__()
+        self._payloads = {}
+        self._starts = collections.Counter()
+        self.worker = MemoryWorker(
+            reactor, facts, self._describe, watch=self._count_start
+        )
+
+    def render_GET(self, request):
+        """Answer how often each task has started."""
+        return msgspec.json.encode(self._starts)
+
+    def render_POST(self, request):
+        """Answer one call of the agent."""
+        ensureDeferred(self._answer(request))
+        return NOT_DONE_YET
+
+    async def _answer(self, request):
+        body = msgspec.json.decode(request.content.read())
+        serve = {
+            b"/api/run-start": self._start,
+            b"/api/run-stop": self._stop,
+            b"/api/hold": self._hold,
+        }[request.path]
+        status, fields = await serve(body)
+        clock_ms = int(reactor.seconds() * 1000)
+        request.setResponseCode(status)
+        request.write(msgspec.json.encode({"clock-ms": clock_ms, **fields}))
+        request.finish()
+
+    async def _start(self, body):
+        self._payloads[body["task"]] = body["spec"]
+        order = StartOrder(
+            body["task"], body["run"], body["spec"], body.get("checkpoint", "")
+        )
+        answer = await self.worker.start(
+            order, body["fencing-token"], body["deadline-ms"], _TIMEOUT_S
+        )
+        if isinstance(answer, Refused):
+            return 409, {"reason": executor.WHY_NAMES[answer.reason]}
+        return 200, {}
+
+    async def _stop(self, body):
+        run = RunId(body["task"], body["run"])
+        answer = await self.worker.stop(run, body["fencing-token"], _TIMEOUT_S)
+        return (409, {}) if isinstance(answer, Unavailable) else (200, {})
+
+    async def _hold(self, body):
+        look = await self.worker.hold(
+            body["fencing-token"],
+            body["last-seen"],
+            body.get("deadline-ms"),
+            body.get("wait-ms", 0) / 1000,
+        )
+        return 200, {
+            "born": look.born_ms,
+            "running": [list(one) for one in look.running],
+            "ended": [list(one) for one in look.ended],
+        }
+
+    def _describe(self, task):
+        return Work(float(self._payloads.get(task) or 1.0))
+
+    def _count_start(self, event, _worker, task, _run, _how):
+        if event == "start":
+            self._starts[task] += 1
+
+
+def run(path: str):
+    """Serve until the process is ended."""
+    document = settings.read(path, ["host", "port", "name", "zone", "agent_address"])
+    count = document.get("accelerators", 8)
+    facts = WorkerFacts(
+        id=f"i-{document['name']}",
+        born_ms=int(reactor.seconds() * 1000),
+        service="desk",
+        zone=document["zone"],
+        capacity=Shape(_CORES_EACH * count, _MEMORY_EACH * count, count),
+        labels=("a", document.get("rack", "r1")),
+    )
+    resource = WorkerResource(facts)
+    reactor.listenTCP(document["port"], Site(resource), interface=document["host"])
+    agent = HttpPlatform(reactor, f"http://{document['agent_address']}")
+    sequence = iter(range(1, 1 << 62))
+
+    def beat():
+        body = executor.encode_heartbeat(facts, next(sequence))
+        path = f"/api/Instances.Heartbeat/{facts.id}".encode()
+        ensureDeferred(agent.call(b"POST", path, body))
+
+    LoopingCall(beat).start(_HEARTBEAT_S)
+    reactor.run()
--- a/packages/standins/src/samphiredeal/standins/launch.py
+++ b/packages/standins/src/samphiredeal/standins/launch.py
@@ -140,14 +140,17 @@
         for process in self._processes.values():
             process.wait()
 
-    def _start(self, name, command, document):
+    def _start(self, name, command, document, environment=None):
         path = os.path.join(self._folder, f"{name.replace(':', '-')}.json")
         with open(path, "w", encoding="utf-8") as file:
             json.dump(document, file)
         log_path = self._log_path(name)
+        if environment is not None:
+            environment = {**os.environ, environment: path}
+        arguments = command if environment else [*command, path]
         with open(log_path, "ab") as log:
             self._processes[name] = subprocess.Popen(
-                [*command, path], stdout=log, stderr=subprocess.STDOUT
+                arguments, stdout=log, stderr=subprocess.STDOUT, env=environment
             )
 
 
--- a/packages/standins/src/samphiredeal/standins/main.py
+++ b/packages/standins/src/samphiredeal/standins/main.py
@@ -2,11 +2,16 @@
 
 import defopt
 
-from samphiredeal.standins import executor, platform, worker
+from samphiredeal.standins import executor, graph_worker, platform, worker
 
 
 def main():
     """Run one stand-in."""
     defopt.run(
-        {"platform": platform.run, "executor": executor.run, "worker": worker.run}
+        {
+            "platform": platform.run,
+            "executor": executor.run,
+            "worker": worker.run,
+            "graph-worker": graph_worker.run,
+        }
     )
--- /dev/null
+++ b/tests/test_graph_processes.py
@@ -0,0 +1,104 @@
+"""Job graphs through real processes, from callers to workers, under signals.
+
+Proves on real sockets: a job's steps run in order and once, also when the
+scheduler is killed or frozen and an agent starts anew; planned stops exit with
+0; wrong keys, queues and bodies are told apart.
+"""
+
+import signal
+
+import pytest
+
+from samphiredeal.standins import graph_demo
+from samphiredeal.standins.graph_cluster import start_small
+from samphiredeal.standins.launch import wait_for
+
+PATIENCE_S = 40
+STEP = {"count": 3, "cpu": 1000, "mem-mb": 1000, "gpu": 1, "estimated-ms": 1000}
+JOB = {"spec": "1.0", "steps": [STEP, {**STEP, "after": [0]}]}
+LONG = {"spec": "5.0", "steps": [{**STEP, "estimated-ms": 5000}]}
+
+
+@pytest.fixture
+def cluster(tmp_path):
+    cluster = start_small(str(tmp_path))
+    yield cluster
+    cluster.close()
+
+
+def submit(cluster, entry, job_id, document):
+    path = f"/normal/{job_id}"
+
+    def accepted():
+        return cluster.call(entry, "POST", path, document).status == 200
+
+    wait_for(accepted, PATIENCE_S, f"{job_id} is accepted")
+
+
+def wait_for_state(cluster, entry, job_id, state):
+    def reached():
+        reply = cluster.call(entry, "GET", f"/normal/{job_id}")
+        return reply.document.get("state") == state
+
+    wait_for(reached, PATIENCE_S, f"{job_id} is {state}")
+
+
+def starts(cluster):
+    counts = {}
+    for number in range(3):
+        for task, count in cluster.starts(f"worker-{number}").items():
+            counts[task] = counts.get(task, 0) + count
+    return counts
+
+
+def test_job_runs_once_and_is_shown_by_every_entry(cluster):
+    submit(cluster, "entry-0", "a1", JOB)
+    submit(cluster, "entry-1", "a1", JOB)
+    for entry in cluster.entries:
+        wait_for_state(cluster, entry, "a1", "completed")
+    assert sorted(starts(cluster).values()) == [1] * 6
+
+
+def test_refusals_are_told_apart(cluster):
+    call = cluster.call
+    assert call("entry-0", "GET", "/none/a1").status == 404
+    assert call("entry-0", "GET", "/normal/a1", key="wrong").status == 401
+    assert call("entry-0", "GET", "/normal/a1").status == 410
+    bad = call("entry-0", "POST", "/normal/a1", {"steps": [{"count": "x"}]})
+    assert bad.status == 400 and "count" in bad.document["error"]
+
+
+@pytest.mark.parametrize("number", [signal.SIGKILL, signal.SIGSTOP, signal.SIGTERM])
+def test_running_job_survives_its_scheduler(cluster, number):
+    submit(cluster, "entry-0", "a1", LONG)
+    wait_for_state(cluster, "entry-0", "a1", "running")
+    old = cluster.scheduler()
+    other = next(entry for entry in cluster.entries if entry != old)
+    cluster.signal(old, number)
+    wait_for_state(cluster, other, "a1", "completed")
+    assert list(starts(cluster).values()) == [1] * 3
+    if number == signal.SIGTERM:
+        assert cluster.wait(old) == 0
+
+
+def test_running_job_survives_agents_that_start_anew(cluster):
+    submit(cluster, "entry-0", "a1", LONG)
+    wait_for_state(cluster, "entry-0", "a1", "running")
+    for number in range(3):
+        name = f"agent-worker-{number}"
+        cluster.signal(name, signal.SIGKILL)
+        cluster.wait(name)
+        cluster.start_again(name)
+    wait_for_state(cluster, "entry-0", "a1", "completed")
+    assert list(starts(cluster).values()) == [1] * 3
+
+
+def test_cancelled_job_stops(cluster):
+    submit(cluster, "entry-0", "a1", {**LONG, "spec": "60"})
+    wait_for_state(cluster, "entry-0", "a1", "running")
+    assert cluster.call("entry-1", "DELETE", "/normal/a1").status == 200
+    wait_for_state(cluster, "entry-0", "a1", "cancelled")
+
+
+def test_demo_passes(capsys):
+    assert graph_demo.main() == 0, capsys.readouterr().err
