End a process that cannot listen; give each process ports of its own

A demo failed once: an entry's metrics port had been given to another process, and the entry stayed up without serving. It now ends with status 1 and the reason in its log.

--- a/packages/cli/src/samphiredeal/cli/platform_roles.py
+++ b/packages/cli/src/samphiredeal/cli/platform_roles.py
@@ -2,10 +2,11 @@
 
 import random
 import signal
+import sys
 import time
 
 import msgspec
-from eliot import add_destinations, log_message
+from eliot import add_destinations, log_message, write_traceback
 from twisted.internet import reactor
 from twisted.internet.defer import ensureDeferred
 from twisted.internet.task import deferLater
@@ -153,10 +154,23 @@
 
 
 def _run(begin, drain):
+    """Run until told to stop; end with status 1 if the start fails."""
+    failures = []
+
+    def start():
+        try:
+            begin()
+        except Exception:
+            write_traceback()
+            failures.append("start failed")
+            reactor.stop()
+
     runtime.stop_on_sigterm(drain)
     signal.signal(signal.SIGHUP, lambda *_: reactor.callFromThread(_reload))
-    reactor.callWhenRunning(begin)
+    reactor.callWhenRunning(start)
     reactor.run(installSignalHandlers=False)
+    if failures:
+        sys.exit(1)
 
 
 def _reload():
--- a/packages/standins/src/samphiredeal/standins/graph_cluster.py
+++ b/packages/standins/src/samphiredeal/standins/graph_cluster.py
@@ -17,6 +17,7 @@
     STARTUP_S,
     LocalCluster,
     free_port,
+    free_ports,
     wait_for,
 )
 
@@ -52,6 +53,7 @@
         self._ready = {}
         self._version = 0
         self._commands = {}
+        self._given = set()
 
     @property
     def entries(self):
@@ -60,14 +62,14 @@
 
     def graph_entry(self, name, zone):
         """Start an entry."""
-        ports = [free_port() for _ in range(2)]
+        ports = [self._ports_for(free_port, 1) for _ in range(2)]
         self._callers[name], self._ready[name] = ports
         listen = {"frontend": f"{HOST}:{ports[0]}", "readiness": f"{HOST}:{ports[1]}"}
         self._on_platform(name, "entry", zone, {"listen-addresses": listen})
 
     def graph_worker(self, name, zone, rack="r1", accelerators=8):
         """Start a worker and the agent beside it."""
-        control = f"{HOST}:{free_port()}"
+        control = f"{HOST}:{self._ports_for(free_port, 1)}"
         self.standin(
             "graph-worker",
             name,
@@ -82,9 +84,9 @@
         }
         self._on_platform(f"agent-{name}", "agent", zone, extra)
 
-    def start_again(self, name):
-        """Start a process again with its old settings."""
-        role, document = self._commands[name]
+    def start_again(self, name, settings_of=None):
+        """Start a process with its old settings, or with those of another."""
+        role, document = self._commands[settings_of or name]
         command = [*self._program, role]
         self._start(name, command, document, SETTINGS_VARIABLE)
 
@@ -146,8 +148,17 @@
                     newest = max(newest, (json.loads(line)["epoch"], entry))
         return newest[1]
 
+    def _ports_for(self, find, count):
+        """Return the first of `count` free ports that nobody was given yet."""
+        while True:
+            first = find()
+            wanted = set(range(first, first + count))
+            if not wanted & self._given:
+                self._given |= wanted
+                return first
+
     def _on_platform(self, name, role, zone, extra):
-        base = free_port()
+        base = self._ports_for(free_ports, 2)
         document = {
             "node": name,
             "zone": zone,
--- a/packages/standins/src/samphiredeal/standins/launch.py
+++ b/packages/standins/src/samphiredeal/standins/launch.py
@@ -23,6 +23,18 @@
         return probe.getsockname()[1]
 
 
+def free_ports():
+    """Return the first of two adjacent TCP ports that are free now."""
+    while True:
+        first = free_port()
+        with socket.socket() as probe:
+            try:
+                probe.bind((HOST, first + 1))
+            except (OSError, OverflowError):
+                continue
+        return first
+
+
 def wait_for(condition, seconds, what):
     """Poll until the condition gives something true; raise `TimeoutError`."""
     give_up_at = time.monotonic() + seconds
--- a/tests/test_graph_processes.py
+++ b/tests/test_graph_processes.py
@@ -93,6 +93,13 @@
     assert list(starts(cluster).values()) == [1] * 3
 
 
+def test_process_that_cannot_listen_ends_with_a_reason(cluster):
+    """Left running, it would be a node that nobody can reach."""
+    cluster.start_again("entry-0 again", "entry-0")
+    assert cluster.wait("entry-0 again") == 1
+    assert "CannotListenError" in cluster.log_of("entry-0 again")
+
+
 def test_cancelled_job_stops(cluster):
     submit(cluster, "entry-0", "a1", {**LONG, "spec": "60"})
     wait_for_state(cluster, "entry-0", "a1", "running")
