--- a/packages/standins/src/samphiredeal/standins/graph_cluster.py
+++ b/packages/standins/src/samphiredeal/standins/graph_cluster.py
@@ -62,14 +62,14 @@
 
     def graph_entry(self, name, zone):
         """Start an entry."""
-        ports = [self._ports_for(free_port, 1) for _ in range(2)]
+        ports = [self.port() for _ in range(2)]
         self._callers[name], self._ready[name] = ports
         listen = {"frontend": f"{HOST}:{ports[0]}", "readiness": f"{HOST}:{ports[1]}"}
         self._on_platform(name, "entry", zone, {"listen-addresses": listen})
 
     def graph_worker(self, name, zone, rack="r1", accelerators=8):
         """Start a worker and the agent beside it."""
-        control = f"{HOST}:{self._ports_for(free_port, 1)}"
+        control = f"{HOST}:{self.port()}"
         self.standin(
             "graph-worker",
             name,
@@ -80,7 +80,7 @@
         )
         extra = {
             "listen-addresses": {"control": control},
-            "app": f"{HOST}:{self._ports[name]}",
+            "app": f"{HOST}:{self._worker_port(name)}",
         }
         self._on_platform(f"agent-{name}", "agent", zone, extra)
 
@@ -139,6 +139,10 @@
         """Return how often each task has started on a worker."""
         return _call(self.url_of(worker) + "/runs", "GET").document
 
+    def history(self, worker):
+        """Return every start and end on a worker, in order."""
+        return _call(self.url_of(worker) + "/history", "GET").document
+
     def scheduler(self):
         """Return the entry that took over last, by its log, or None."""
         newest = (0, None)
@@ -148,6 +152,18 @@
                     newest = max(newest, (json.loads(line)["epoch"], entry))
         return newest[1]
 
+    def port(self):
+        """Return a free port that nobody was given yet."""
+        return self._ports_for(free_port, 1)
+
+    def _store_port(self, _name):
+        """Return the port at which a process reaches the store."""
+        return self._ports["platform"]
+
+    def _worker_port(self, name):
+        """Return the port at which an agent reaches its worker."""
+        return self._ports[name]
+
     def _ports_for(self, find, count):
         """Return the first of `count` free ports that nobody was given yet."""
         while True:
@@ -165,13 +181,18 @@
             "ip": HOST,
             "internal-ports": [base, base + 15],
             "bounds": _BOUNDS,
-            "platform": {"address": f"{HOST}:{self._ports['platform']}"},
+            "platform": {"address": f"{HOST}:{self._store_port(name)}"},
             **extra,
         }
         self._commands[name] = (role, document)
         self.start_again(name)
 
 
+def post(url, document):
+    """Send a document to a stand-in; return the `Reply`."""
+    return _call(url, "POST", document)
+
+
 def _call(url, method, document=None, headers=None):
     body = None if document is None else json.dumps(document).encode()
     request = urllib.request.Request(url, body, headers or {}, method=method)
--- a/packages/standins/src/samphiredeal/standins/graph_worker.py
+++ b/packages/standins/src/samphiredeal/standins/graph_worker.py
@@ -3,7 +3,8 @@
 Settings: ``host``, ``port``, ``name``, ``zone``, ``rack``, ``accelerators`` and
 ``agent_address``, to which heartbeats go. A task's payload says for how many
 seconds it works. Members of a gang do not wait for those on other workers.
-``GET /runs`` tells how often each task has started.
+``GET /runs`` tells how often each task has started, ``GET /history`` gives every
+start and end as (time, kind, task, run, how).
 """
 
 import collections
@@ -38,13 +39,13 @@
         super().__init__()
         self._payloads = {}
         self._starts = collections.Counter()
-        self.worker = MemoryWorker(
-            reactor, facts, self._describe, watch=self._count_start
-        )
+        self._history = []
+        self.worker = MemoryWorker(reactor, facts, self._describe, watch=self._note)
 
     def render_GET(self, request):
-        """Answer how often each task has started."""
-        return msgspec.json.encode(self._starts)
+        """Answer how often each task has started, or all that happened."""
+        asked = self._history if request.path == b"/history" else self._starts
+        return msgspec.json.encode(asked)
 
     def render_POST(self, request):
         """Answer one call of the agent."""
@@ -97,7 +98,8 @@
     def _describe(self, task):
         return Work(float(self._payloads.get(task) or 1.0))
 
-    def _count_start(self, event, _worker, task, _run, _how):
+    def _note(self, event, _worker, task, run, how):
+        self._history.append((reactor.seconds(), event, task, run, how))
         if event == "start":
             self._starts[task] += 1
 
--- a/packages/standins/src/samphiredeal/standins/main.py
+++ b/packages/standins/src/samphiredeal/standins/main.py
@@ -2,7 +2,7 @@
 
 import defopt
 
-from samphiredeal.standins import executor, graph_worker, platform, worker
+from samphiredeal.standins import executor, graph_worker, platform, proxy, worker
 
 
 def main():
@@ -13,5 +13,6 @@
             "executor": executor.run,
             "worker": worker.run,
             "graph-worker": graph_worker.run,
+            "proxy": proxy.run,
         }
     )
