Steady the time of day; clear old rows; never undo a newer eviction

Read-through findings, each with a test: a deletion of an eviction carried out late by the store could take back a newer one (it now depends on the version it knows); a job forgotten by the scheduler came back until its rows were gone; rows of agents that are gone for good were kept for ever; due times followed jumps of the scheduler's time of day.

--- a/packages/entry/src/samphiredeal/entry/graphs/dispatcher.py
+++ b/packages/entry/src/samphiredeal/entry/graphs/dispatcher.py
@@ -27,6 +27,8 @@
 # Jobs in one transaction: three entries each, of the hundred allowed.
 _JOBS_PER_WRITE = 30
 _STORE_PAUSE_S = 0.15
+# How often the rows of old jobs are deleted.
+_FORGET_EVERY_S = 2.0
 # What a question to the advice service may take beyond its own time, and the
 # pause after one without an answer.
 _ADVICE_SLACK_S = 1.0
@@ -63,6 +65,7 @@
         self._store_ready_at = 0.0
         self._checkpoints_at = self._clock.seconds()
         self._asking = False
+        self._forget_at = self._clock.seconds() + _FORGET_EVERY_S
         self._ended = False
         self._timer = None
 
@@ -96,6 +99,9 @@
                 scheduler.add_job(
                     stored.value, progress.value if progress else None, now
                 )
+        for job_id in [one for one in scheduler.jobs if one not in view.jobs]:
+            scheduler.forget_job(job_id)
+            self._versions.pop(job_id, None)
         for job_id in view.cancels:
             scheduler.cancel_job(job_id, now)
         for name, stored in view.workers.items():
@@ -245,20 +251,24 @@
             self._versions[job_id] = row.version
 
     def _forget_old_jobs(self):
-        """Delete the rows of jobs that ended long enough ago."""
+        """Delete the rows of jobs that ended long enough ago.
+
+        The jobs are dropped once the rows are seen to be gone.
+        """
         now = self._clock.seconds()
+        if now < self._forget_at:
+            return
+        self._forget_at = now + _FORGET_EVERY_S
         old = [
-            job
+            job.id
             for job in self._scheduler.jobs.values()
             if job.ended_at is not None
             and now - job.ended_at > self._host.state_kept_s
             and not job.holds_room
             and not job.dirty
         ]
-        for job in old[:_JOBS_PER_WRITE]:
-            self._scheduler.forget_job(job.id)
-            self._versions.pop(job.id, None)
-            keys = [make(job.id) for make in (work.job_key, work.progress_key)]
-            keys.append(work.cancel_key(job.id))
+        makers = (work.job_key, work.progress_key, work.cancel_key)
+        keys = [make(job_id) for job_id in old[:_JOBS_PER_WRITE] for make in makers]
+        if keys:
             deleted = self._table.write([self._leadership.condition], [], keys)
             deleted.addErrback(self._failed)
--- a/packages/entry/src/samphiredeal/entry/graphs/intake.py
+++ b/packages/entry/src/samphiredeal/entry/graphs/intake.py
@@ -51,9 +51,11 @@
 class Intake:
     """Answers calls from the rows in memory and writes to the store."""
 
-    def __init__(self, clock, wall, table, operations, config_age_s, view, store_age_s):
+    def __init__(
+        self, clock, wall_ms, table, operations, config_age_s, view, store_age_s
+    ):
         self._clock = clock
-        self._wall = wall
+        self._wall_ms = wall_ms
         self._table = table
         self._operations = operations
         self._config_age_s = config_age_s
@@ -130,7 +132,7 @@
             max_attempts=queue.max_attempts,
             stretch=queue.stretch,
             target_latency_ms=queue.target_latency_ms,
-            accepted_ms=int(self._wall() * 1000),
+            accepted_ms=self._wall_ms(),
             spec=spec,
             advice=queue.advice,
         )
--- a/packages/entry/src/samphiredeal/entry/graphs/node.py
+++ b/packages/entry/src/samphiredeal/entry/graphs/node.py
@@ -6,6 +6,7 @@
 from twisted.internet.defer import ensureDeferred
 from twisted.internet.task import deferLater
 
+from samphiredeal.entry.graphs.daytime import SAMPLE_EVERY_S, TimeOfDay
 from samphiredeal.entry.graphs.dispatcher import Dispatcher
 from samphiredeal.entry.graphs.follower import Follower
 from samphiredeal.entry.graphs.intake import Intake
@@ -69,6 +70,7 @@
         self._clock = clock
         self._operations = OperationsView(self._changed)
         self._view = WorkView(clock, self._changed)
+        self._time_of_day = TimeOfDay(clock, wall)
         self._operator_rows = Follower(
             clock,
             operator_table,
@@ -91,7 +93,7 @@
         )
         self._intake = Intake(
             clock,
-            wall,
+            self._time_of_day.ms,
             table,
             self._operations,
             lambda: self._operator_rows.age_s,
@@ -105,7 +107,7 @@
             self._operations,
             lambda: self._operator_rows.age_s,
             connect,
-            lambda: int(wall() * 1000),
+            self._time_of_day.ms,
             bounds.far_factor,
             lease_wait_s(bounds.lease_max_s),
             bounds.state_kept_s + 30.0,
@@ -157,6 +159,7 @@
         """Begin to follow the rows and to take part in the choice."""
         for follower in (self._operator_rows, self._work_rows):
             ensureDeferred(follower.run()).addErrback(_log_failure)
+        self._periodic.every(SAMPLE_EVERY_S, self._time_of_day.sample)
         self._periodic.every_coroutine(
             _LEADER_TICK_S, "leadership", self._leadership.tick
         )
--- a/packages/entry/src/samphiredeal/entry/graphs/sessions.py
+++ b/packages/entry/src/samphiredeal/entry/graphs/sessions.py
@@ -12,7 +12,7 @@
 from samphiredeal.entry.graphs import work
 from samphiredeal.entry.graphs.leadership import VOUCH_S
 from samphiredeal.model.runs import Orders, RunId
-from samphiredeal.platform.table import Committed, Put
+from samphiredeal.platform.table import Committed, Condition, Put
 from samphiredeal.wire import orders as coding
 from samphiredeal.wire.messages import WorkOrders, WorkReport
 
@@ -23,6 +23,9 @@
 _ORDERS_EVERY_S = 0.5
 _RECONNECT_S = 0.3
 _EVICT_RETRY_S = 0.3
+# An agent silent for this long is taken as gone for good; one that is not
+# announces itself again.
+_FORGET_AFTER_S = 300.0
 
 
 class Session:
@@ -86,7 +89,7 @@
     def tick(self):
         """Reconnect, and deal with agents that are silent."""
         now = self._clock.seconds()
-        for session in self._sessions.values():
+        for session in list(self._sessions.values()):
             if session.link is None and now >= session.retry_at:
                 self._connect(session)
             silent_s = now - session.silent_since
@@ -95,6 +98,8 @@
             if silent_s > EVICT_AFTER_S:
                 self._evict(session, now)
             self._lose_if_lapsed(session, now)
+            if session.lost and silent_s > _FORGET_AFTER_S:
+                self._forget(session)
 
     def last_ends(self):
         """Return {name: (life, number)} of the last ends taken in."""
@@ -213,7 +218,7 @@
                 silent_s=round(now - session.silent_since, 3),
                 evicted=session.evicting,
             )
-        if session.evicting or session.name in self._host.view.evicted:
+        if session.name in self._host.view.evicted:
             self._restore(session)
         session.evicting, session.evicted_at, session.lost = False, None, False
         session.heard_at = session.silent_since = now
@@ -258,10 +263,24 @@
             )
 
     def _restore(self, session):
-        """Let an agent that is back extend leases again."""
-        self._host.table.write(
-            [self._leadership.condition], [], [work.evicted_key(session.name)]
-        )
+        """Let an agent that is back extend leases again.
+
+        Only the eviction that is known is taken back: a deletion that the store
+        carries out late must not undo a newer one.
+        """
+        key = work.evicted_key(session.name)
+        version = self._host.view.evicted[session.name].version
+        conditions = [self._leadership.condition, Condition(key, version)]
+        self._host.table.write(conditions, [], [key])
+
+    def _forget(self, session):
+        """Delete the rows of an agent that is gone."""
+        log_message(message_type="worker_forgotten", worker=session.name)
+        self._drop(session)
+        del self._sessions[session.name]
+        self._dispatcher.scheduler.remove_worker(session.name)
+        keys = [work.worker_key(session.name), work.evicted_key(session.name)]
+        self._host.table.write([self._leadership.condition], [], keys)
 
     def _lose_if_lapsed(self, session, now):
         """Give up what a worker ran once its lease has surely lapsed."""
--- a/packages/policy/src/samphiredeal/policy/graphs/reports.py
+++ b/packages/policy/src/samphiredeal/policy/graphs/reports.py
@@ -17,6 +17,8 @@
 # A run that an agent has neither listed nor refused this long after it was
 # ordered is ordered again; twice the time of a healthy start under load.
 _REORDER_S = 1.0
+# So many workers on which a unit failed are remembered beside the newest.
+_FAILURES_KEPT = 3
 
 
 def absorb(state, worker, report, now):
@@ -181,7 +183,7 @@
 
 def _fail_unit(unit, worker, ran_s, now):
     health.note_failure(worker, unit, ran_s, now)
-    unit.failed_on.append(worker.name)
+    unit.failed_on = [*unit.failed_on[-_FAILURES_KEPT:], worker.name]
     _stop_rest(unit, "a member of its gang failed")
     if unit.spec.lasting or unit.done:
         return
--- a/tests/test_graph_path.py
+++ b/tests/test_graph_path.py
@@ -10,6 +10,7 @@
 
 from samphiredeal.model import answers
 from samphiredeal.model.shape import Shape
+from samphiredeal.platform.table import Condition
 
 STEP = {"count": 2, "cpu": 1000, "mem-mb": 1000, "gpu": 1, "estimated-ms": 1000}
 LONG = {**STEP, "estimated-ms": 8000}
@@ -227,6 +228,46 @@
     world.run_until(lambda: world.scheduler() not in (None, old), 3.0)
 
 
+def test_late_deletion_does_not_take_back_a_newer_eviction():
+    world = make_graph_world()
+    names = list(world.nodes)
+
+    def lose_and_return():
+        for name in names:
+            world.network.cut("w0", name)
+        world.run_until(lambda: "evicted/w0" in world.table.rows, 5.0)
+        evicted = world.table.rows["evicted/w0"]
+        world.network.heal()
+        world.run_until(lambda: "evicted/w0" not in world.table.rows, 5.0)
+        return evicted
+
+    first = lose_and_return()
+    for name in names:
+        world.network.cut("w0", name)
+    world.run_until(lambda: "evicted/w0" in world.table.rows, 5.0)
+    assert world.table.rows["evicted/w0"].version > first.version
+    epoch = world.nodes[world.scheduler()].process.leadership.condition
+    late = [epoch, Condition("evicted/w0", first.version)]
+    world.table.write(late, [], ["evicted/w0"])
+    world.run(0.1)
+    assert "evicted/w0" in world.table.rows
+
+
+def test_rows_of_ended_jobs_and_lost_agents_leave():
+    world = make_graph_world()
+    world.submit("e0", "a1", [STEP])
+    world.kill("w3")
+    world.workers["w3"].faults.gone = True
+    world.run(100.0)
+    assert world.state("e1", "a1") == "completed"
+    world.run(60.0)
+    assert world.state("e1", "a1") == answers.NO_JOB
+    world.run(180.0)
+    left = {key.split("/")[0] for key in world.table.rows}
+    assert left == {"epoch", "beat", "worker"}
+    assert "worker/w3" not in world.table.rows
+
+
 def test_unsettled_write_is_not_answered_as_refused():
     world = make_graph_world()
     world.nodes["e0"].faults.lose_answers = 100
