--- a/packages/standins/src/samphiredeal/standins/graph_cluster.py
+++ b/packages/standins/src/samphiredeal/standins/graph_cluster.py
@@ -209,11 +209,15 @@
     """Return a ready system of two entries and three workers."""
     os.makedirs(folder, exist_ok=True)
     cluster = GraphCluster(folder)
-    cluster.standin("platform", "platform")
-    cluster.configure()
-    for number, zone in enumerate(("zone-a", "zone-b")):
-        cluster.graph_entry(f"entry-{number}", zone)
-    for number in range(3):
-        cluster.graph_worker(f"worker-{number}", ("zone-a", "zone-b")[number % 2])
-    cluster.wait_until_ready()
+    try:
+        cluster.standin("platform", "platform")
+        cluster.configure()
+        for number, zone in enumerate(("zone-a", "zone-b")):
+            cluster.graph_entry(f"entry-{number}", zone)
+        for number in range(3):
+            cluster.graph_worker(f"worker-{number}", ("zone-a", "zone-b")[number % 2])
+        cluster.wait_until_ready()
+    except BaseException:
+        cluster.close()
+        raise
     return cluster
