Displace for one wave of a wide urgent step at a time

Users expect a wide step in waves of a quarter of the room; that much is made room for at once, and the next wave follows on the same workers.

--- a/packages/policy/src/samphiredeal/policy/graphs/ordering.py
+++ b/packages/policy/src/samphiredeal/policy/graphs/ordering.py
@@ -14,12 +14,17 @@
 class Clock(NamedTuple):
     """The time of day, and how wide the cluster is.
 
-    `waves(job, step)` tells in how many waves a step is expected to run: users
-    do not expect all tasks of a very wide step to run at once.
+    `share(job, step)` tells how many tasks of a step users expect to run at
+    once: a wider step is expected to run in waves.
     """
 
     wall_ms: int
-    waves: object
+    share: object
+
+    def waves(self, job, number):
+        """Return in how many waves a step is expected to run."""
+        count = job.record.spec.steps[number].count
+        return -(-count // self.share(job, number))
 
 
 def objective_s(job, clock):
--- a/packages/policy/src/samphiredeal/policy/graphs/scheduler.py
+++ b/packages/policy/src/samphiredeal/policy/graphs/scheduler.py
@@ -32,10 +32,8 @@
 _STOP_AGAIN_S = 0.5
 # Runs this close to their end are not moved aside.
 _NEARLY_DONE_PERCENT = 90
-# A wide urgent step beyond its guarantee displaces other work only for members
-# that must start within this time; estimates are too rough to let others wait.
-_PRESSING_S = 1.5
 # A step that is wider than this part of the room is expected to run in waves.
+# Urgent work beyond its guarantee displaces others for one wave at a time.
 _WAVES_PER_ROOM = 4
 # Urgent work beyond a guarantee may throw away at most this many times its own
 # work. An urgent job in time is worth about this much more than one that is late.
@@ -174,7 +172,7 @@
         self._stop_what_should_not_run(now)
         waiting = self._waiting_units(now)
         covered = self._covered_jobs()
-        clock = ordering.Clock(wall_ms, self._waves_function())
+        clock = ordering.Clock(wall_ms, self._share_function())
         waiting.sort(
             key=lambda unit: ordering.rank(unit, unit.job.id in covered, clock)
         )
@@ -349,24 +347,23 @@
                 if unit.done or not unit.job.active:
                     self._claim(unit, {})
 
-    def _waves_function(self):
+    def _share_function(self):
         """Return the function for `ordering.Clock`, good for one plan."""
         known = {}
 
-        def waves(job, number):
+        def share(job, number):
             spec = job.record.spec.steps[number]
-            key = (job.record.service, spec.shape, spec.count)
+            key = (job.record.service, spec.shape)
             if key not in known:
                 room = sum(
                     spec.shape.copies_in(worker.capacity)
                     for worker in self.workers.values()
                     if worker.service == job.record.service and worker.reachable
                 )
-                quarter = max(1, room // _WAVES_PER_ROOM)
-                known[key] = -(-spec.count // quarter)
+                known[key] = max(1, room // _WAVES_PER_ROOM)
             return known[key]
 
-        return waves
+        return share
 
     def _place(self, unit, covered, now, clock):
         """Place a unit, or make room for it; return whether it was placed."""
@@ -393,9 +390,8 @@
             self._start(unit, places, now)
             return True
         if unit.job.urgent and not unit.claim:
-            narrow = clock.waves(unit.job, unit.step) == 1
-            pressing = ordering.latest_start_s(unit, clock) < _PRESSING_S
-            if covered or narrow or pressing:
+            share = clock.share(unit.job, unit.step)
+            if covered or _members_under_way(unit) < share:
                 self._reclaim(unit, workers, covered, now)
         return False
 
@@ -466,6 +462,17 @@
             self._stop(victim, f"its room is reclaimed for job {unit.job.id}")
 
 
+def _members_under_way(unit):
+    """Return how many members of a unit's step run or have room made for them."""
+    return sum(
+        other.count
+        for other in unit.job.units.values()
+        if other.step == unit.step
+        and other.occurrence == unit.occurrence
+        and (other.placements or other.claim)
+    )
+
+
 def _nearly_done(unit):
     placements = unit.placements.values()
     return bool(placements) and all(
--- a/packages/policy/tests/test_graph_scheduler.py
+++ b/packages/policy/tests/test_graph_scheduler.py
@@ -211,6 +211,17 @@
     assert len(bench.places("wide")) == 2
 
 
+def test_wide_urgent_job_gets_one_wave_at_once():
+    """It is not left to wait for its last moment either."""
+    bench = Bench(make_workers(8))
+    bench.add(make_record("fill", [make_step(64, 1, checkpointing=True)]))
+    bench.step().step(0.1).step(1.0)
+    bench.add(make_record("wide", [make_step(6, 8)], priority=0))
+    for _ in range(4):
+        bench.step(0.1)
+    assert len(bench.places("wide")) == 2
+
+
 def test_room_that_is_made_is_not_taken_by_others():
     bench = Bench(make_workers(1))
     bench.scheduler.guarantees = {"acct": 8}
