--- a/packages/standins/src/samphiredeal/standins/graph_worker.py
+++ b/packages/standins/src/samphiredeal/standins/graph_worker.py
@@ -60,6 +60,8 @@
             b"/api/hold": self._hold,
         }[request.path]
         status, fields = await serve(body)
+        if request._disconnected:
+            return
         clock_ms = int(reactor.seconds() * 1000)
         request.setResponseCode(status)
         request.write(msgspec.json.encode({"clock-ms": clock_ms, **fields}))
--- a/packages/standins/src/samphiredeal/standins/launch.py
+++ b/packages/standins/src/samphiredeal/standins/launch.py
@@ -5,6 +5,7 @@
 
 import json
 import os
+import random
 import signal
 import socket
 import subprocess
@@ -14,13 +15,23 @@
 HOST = "127.0.0.1"
 STARTUP_S = 20.0
 _STOP_S = 15.0
+_PORTS = (12_000, 32_000)
 
 
 def free_port():
-    """Return a TCP port that is free now."""
-    with socket.socket() as probe:
-        probe.bind((HOST, 0))
-        return probe.getsockname()[1]
+    """Return a TCP port that is free now.
+
+    It is below those that the system gives to outgoing connections, which would
+    take it while a process that listens there is down.
+    """
+    while True:
+        port = random.randrange(*_PORTS)
+        with socket.socket() as probe:
+            try:
+                probe.bind((HOST, port))
+            except OSError:
+                continue
+        return port
 
 
 def free_ports():
--- a/packages/standins/src/samphiredeal/standins/soak.py
+++ b/packages/standins/src/samphiredeal/standins/soak.py
@@ -90,6 +90,7 @@
                     self._break_something()
                     next_fault = now + self._random.expovariate(1 / _FAULT_EVERY_S)
                 self._repair(now)
+                self._restart_ended()
                 time.sleep(0.05)
             self._repair(float("inf"))
             return self._settle()
@@ -183,6 +184,14 @@
 
         self._repairs.append((time.monotonic() + lasts_s, repair))
 
+    def _restart_ended(self):
+        """Start what has ended by itself again, as the platform does."""
+        for name, process in list(self._cluster.processes.items()):
+            ours = name in self._cluster.entries or name.startswith("agent-")
+            if ours and name not in self._stopped and process.poll() is not None:
+                self.faults.append(("ended by itself", name, 0))
+                self._cluster.start_again(name)
+
     def _repair(self, now):
         due = [repair for at, repair in self._repairs if at <= now]
         self._repairs = [pair for pair in self._repairs if pair[0] > now]
@@ -195,13 +204,16 @@
         """Wait for all jobs to end; return the promises that were broken."""
         entry = self._cluster.entries[0]
         broken = []
+
+        def ended(job_id):
+            self._restart_ended()
+            return self._state(entry, job_id) in self._ends(job_id)
+
+        give_up_at = time.monotonic() + _SETTLE_S
         for job_id in self._accepted:
+            left_s = max(1.0, give_up_at - time.monotonic())
             try:
-                wait_for(
-                    lambda j=job_id: self._state(entry, j) in self._ends(j),
-                    _SETTLE_S,
-                    job_id,
-                )
+                wait_for(lambda j=job_id: ended(j), left_s, job_id)
             except TimeoutError:
                 broken.append(f"{job_id} is {self._state(entry, job_id)!r} at the end")
         history = [
@@ -245,6 +257,8 @@
 
 def main(seed, seconds=30.0, folder=None):
     """Run one soak; print what happened; return the exit status."""
+    # Its processes are ended with it.
+    signal.signal(signal.SIGTERM, lambda *_: sys.exit(1))
     folder = folder or tempfile.mkdtemp(prefix="soak-")
     os.makedirs(folder, exist_ok=True)
     soak = Soak(seed, folder)
