--- a/Makefile
+++ b/Makefile
@@ -3,7 +3,9 @@
 PYTHON := $(VENV)/bin/python
 READY := $(VENV)/ready
 
-.PHONY: demo test lint bench slopes speed binary
+SEED ?= 1
+
+.PHONY: demo test lint bench slopes speed binary soak
 
 $(READY): requirements.txt requirements-dev.txt $(wildcard packages/*/pyproject.toml)
 	test -x $(PYTHON) || python3 -m venv $(VENV)
@@ -20,6 +22,9 @@
 	$(PYTHON) -m pytest
 	$(PYTHON) tests/known_red.py
 
+soak: $(READY)
+	$(PYTHON) -m samphiredeal.standins.soak $(SEED)
+
 lint: $(READY)
 	$(VENV)/bin/ruff check .
 	$(VENV)/bin/ruff format --check .
