--- a/packages/cli/src/samphiredeal/cli/main.py
+++ b/packages/cli/src/samphiredeal/cli/main.py
@@ -13,10 +13,9 @@
 
         print(__version__)
         return 0
-    if len(arguments) == 1 and arguments[0] in _ROLES:
-        return _run_on_platform(arguments[0])
-    if len(arguments) == 2 and arguments[0] in _ROLES:
-        return _run_role(*arguments)
+    plain = not any(argument.startswith("-") for argument in arguments)
+    if plain and 1 <= len(arguments) <= 2 and arguments[0] in _ROLES:
+        return run_role(*arguments)
     from samphiredeal.cli import porcelain
 
     return porcelain.run(arguments)
@@ -36,7 +35,12 @@
     return 0
 
 
-def _run_role(role, path):
+def run_role(role, path=""):
+    """Run a role from a settings file, or on the platform without one."""
+    return _run_from_file(role, path) if path else _run_on_platform(role)
+
+
+def _run_from_file(role, path):
     from samphiredeal.cli import roles
     from samphiredeal.cli.settings import SettingsError
 
--- a/packages/cli/src/samphiredeal/cli/porcelain.py
+++ b/packages/cli/src/samphiredeal/cli/porcelain.py
@@ -260,20 +260,38 @@
     :param json: print JSON
     """
     try:
-        with open(path, encoding="utf-8") as file:
-            document = json5.load(file)
+        document = settings.read_document(path)
         schema = settings.schema_of(document if isinstance(document, dict) else {})
         effective = settings.load(path, schema)
     except settings.SettingsError as error:
         print(error, file=sys.stderr)
         return 1
-    except (OSError, ValueError) as error:
-        print(f"{path}: {error}", file=sys.stderr)
-        return 1
     print(_pretty(effective))
     return 0
 
 
+def entry(path: str = ""):
+    """Run an entry until it is told to stop.
+
+    :param path: its settings file; on the users' platform the announced one
+    """
+    return _run_role("entry", path)
+
+
+def agent(path: str = ""):
+    """Run an agent until it is told to stop.
+
+    :param path: its settings file; on the users' platform the announced one
+    """
+    return _run_role("agent", path)
+
+
+def _run_role(role, path):
+    from samphiredeal.cli import main
+
+    return main.run_role(role, path)
+
+
 def _documents(kind):
     return {"get": _get(kind), "put": _put(kind), "delete": _delete(kind)}
 
@@ -296,6 +314,8 @@
     "config": {"show": show_config},
     "report": show_report,
     "check": check,
+    "entry": entry,
+    "agent": agent,
 }
 
 
--- a/packages/cli/src/samphiredeal/cli/settings.py
+++ b/packages/cli/src/samphiredeal/cli/settings.py
@@ -76,13 +76,7 @@
     Raises `SettingsError`, which lists every unknown key and the first value
     that does not fit.
     """
-    try:
-        with open(path, encoding="utf-8") as file:
-            document = json5.load(file)
-    except OSError as error:
-        raise SettingsError(path, [f"cannot be read: {error.strerror}"]) from error
-    except ValueError as error:
-        raise SettingsError(path, [f"not JSON with comments: {error}"]) from error
+    document = read_document(path)
     faults = list(_unknown_keys(document, schema, ""))
     if not faults:
         faults = list(_faults(document, schema))
@@ -92,6 +86,24 @@
     return {**defaults, **document}
 
 
+def read_document(path):
+    """Return what a settings file holds; no key may stand twice in an object.
+
+    Raises `SettingsError`.
+    """
+    try:
+        with open(path, encoding="utf-8") as file:
+            text = file.read()
+    except OSError as error:
+        raise SettingsError(path, [f"cannot be read: {error.strerror}"]) from error
+    if not text.strip():
+        raise SettingsError(path, ["the file is empty; settings are an object"])
+    try:
+        return json5.loads(text, allow_duplicate_keys=False)
+    except ValueError as error:
+        raise SettingsError(path, [f"not JSON with comments: {error}"]) from error
+
+
 def _unknown_keys(value, schema, path):
     """Yield a fault for each key that the schema does not name."""
     if not isinstance(value, dict):
--- a/packages/cli/tests/test_settings.py
+++ b/packages/cli/tests/test_settings.py
@@ -8,6 +8,7 @@
 
 import pytest
 
+from samphiredeal.cli import porcelain
 from samphiredeal.cli.settings import (
     AgentSettings,
     EntrySettings,
@@ -70,6 +71,30 @@
         load(write(tmp_path, document), EntrySettings)
 
 
+@pytest.mark.parametrize(
+    ("text", "fault"),
+    [
+        ("", "the file is empty"),
+        (" \n", "the file is empty"),
+        ('{"name": "a", "name": "b"}', "name"),
+        ("{", "not JSON with comments"),
+    ],
+)
+def test_unusable_file_is_named(tmp_path, text, fault):
+    path = tmp_path / "settings.json"
+    path.write_text(text)
+    with pytest.raises(SettingsError) as error:
+        load(str(path), EntrySettings)
+    assert fault in str(error.value)
+
+
+def test_help_lists_the_roles(capsys):
+    with pytest.raises(SystemExit):
+        porcelain.run(["--help"])
+    shown = capsys.readouterr().out
+    assert "Run an entry" in shown and "Run an agent" in shown
+
+
 def test_missing_file_is_a_fault(tmp_path):
     with pytest.raises(SettingsError, match="cannot be read"):
         load(tmp_path / "none.json", EntrySettings)
