--- a/packages/entry/src/samphiredeal/entry/graphs/dispatcher.py
+++ b/packages/entry/src/samphiredeal/entry/graphs/dispatcher.py
@@ -56,7 +56,7 @@
         self._table = host.table
         self._view = host.view
         self._leadership = leadership
-        self._scheduler = GraphScheduler(host.far_factor)
+        self._scheduler = GraphScheduler(host.far_factor, host.gang_start_s)
         self._sessions = Sessions(host, leadership, self)
         self._versions = {}
         self._began_at = self._clock.seconds()
--- a/packages/entry/src/samphiredeal/entry/graphs/intake.py
+++ b/packages/entry/src/samphiredeal/entry/graphs/intake.py
@@ -23,9 +23,6 @@
 )
 from samphiredeal.policy.graphs import records
 
-# A node that cannot confirm its configuration for this long refuses callers:
-# below the 2 s + 5 s in which a change must be in force beside a partial outage.
-CONFIGURATION_MAX_AGE_S = 4.0
 # How long a write that the store refuses is tried again before the caller is
 # told to come back: a passing shortage, not an outage.
 _REFUSED_WRITE_S = 0.6
@@ -52,7 +49,15 @@
     """Answers calls from the rows in memory and writes to the store."""
 
     def __init__(
-        self, clock, wall_ms, table, operations, config_age_s, view, store_age_s
+        self,
+        clock,
+        wall_ms,
+        table,
+        operations,
+        config_age_s,
+        view,
+        store_age_s,
+        config_max_age_s,
     ):
         self._clock = clock
         self._wall_ms = wall_ms
@@ -61,6 +66,7 @@
         self._config_age_s = config_age_s
         self._view = view
         self._store_age_s = store_age_s
+        self._config_max_age_s = config_max_age_s
         self._in_flight = 0
         self._unanswered_at = float("-inf")
         self._unsettled = {}
@@ -89,7 +95,7 @@
         if directory is None:
             return None, "", _not_done("no configuration is known yet")
         age_s = self._config_age_s()
-        if age_s > CONFIGURATION_MAX_AGE_S:
+        if age_s > self._config_max_age_s:
             reason = f"the configuration was last confirmed {age_s:.1f} s ago"
             return None, "", _not_done(reason, age_s)
         queue = directory.queue_for(call.host, call.path)
--- a/packages/entry/src/samphiredeal/entry/graphs/node.py
+++ b/packages/entry/src/samphiredeal/entry/graphs/node.py
@@ -27,6 +27,9 @@
 _LEADER_TICK_S = 0.1
 # Knowledge older than this means that the store cannot be reached from here.
 _READY_MAX_AGE_S = 2.2
+# A node that cannot confirm its configuration for this share of the time in which
+# a change must be in force beside a partial outage refuses callers: 4 s of 7.
+_CONFIG_AGE_SHARE = 0.57
 # On a planned stop callers stay connected this long: the balancer needs two
 # missed checks, a second apart, to send new ones elsewhere.
 _LINGER_S = 3.0
@@ -44,6 +47,7 @@
     connect: object
     wall_ms: object
     far_factor: float
+    gang_start_s: float
     lease_wait_s: float
     state_kept_s: float
     advice: object = None
@@ -99,6 +103,7 @@
             lambda: self._operator_rows.age_s,
             self._view,
             lambda: self._work_rows.age_s,
+            _CONFIG_AGE_SHARE * (bounds.config_apply_s + bounds.config_stretch_s),
         )
         self._context = HostContext(
             clock,
@@ -109,6 +114,7 @@
             connect,
             self._time_of_day.ms,
             bounds.far_factor,
+            bounds.gang_start_s,
             lease_wait_s(bounds.lease_max_s),
             bounds.state_kept_s + 30.0,
             advice,
--- a/packages/entry/src/samphiredeal/entry/graphs/work.py
+++ b/packages/entry/src/samphiredeal/entry/graphs/work.py
@@ -9,9 +9,9 @@
 
 from typing import NamedTuple
 
-import msgspec
 from eliot import log_message
 
+from samphiredeal.model.graph import JobRecord
 from samphiredeal.policy.graphs import records
 from samphiredeal.policy.graphs.state import CANCELLED, FINAL_STATES, QUEUED
 
@@ -85,7 +85,7 @@
 
 
 _KINDS = {
-    _JOB: records.JobRecord,
+    _JOB: JobRecord,
     _PROGRESS: records.Progress,
     _WORKER: WorkerRecord,
 }
@@ -124,7 +124,7 @@
         for row in rows:
             try:
                 self._take(row)
-            except (ValueError, msgspec.DecodeError) as error:
+            except ValueError as error:
                 log_message(
                     message_type="row_unreadable",
                     key=row.key,
@@ -154,12 +154,12 @@
         if known is not None and known.version >= row.version:
             return
         kind = _KINDS.get(prefix + "/")
-        value = msgspec.json.decode(row.value, type=kind) if kind else None
+        value = records.decode(row.value, kind) if kind else None
         entries[name] = Versioned(value, row.version)
 
     def _take_newer(self, attribute, kind, row):
         if row.version > getattr(self, attribute).version:
-            value = msgspec.json.decode(row.value, type=kind)
+            value = records.decode(row.value, kind)
             setattr(self, attribute, Versioned(value, row.version))
 
     def state_of(self, job_id):
--- a/packages/platform/src/samphiredeal/platform/settings.py
+++ b/packages/platform/src/samphiredeal/platform/settings.py
@@ -16,10 +16,8 @@
 
     config_apply_s: float
     config_stretch_s: float
-    drain_s: float
     stop_grace_s: float
     lease_max_s: float
-    run_stop_s: float
     gang_start_s: float
     state_kept_s: float
     # How many times as long work takes far from its data or off its rack.
@@ -101,10 +99,8 @@
     return Bounds(
         config_apply_s=bounds["config-apply-ms"] / 1000,
         config_stretch_s=bounds["max-stretch-ms"] / 1000,
-        drain_s=bounds["drain-ms"] / 1000,
         stop_grace_s=float(bounds["grace-s"]),
         lease_max_s=bounds["max-hold-ms"] / 1000,
-        run_stop_s=bounds["stop-timeout-ms"] / 1000,
         gang_start_s=bounds["gang-timeout-ms"] / 1000,
         state_kept_s=float(bounds["status_s"]),
         far_factor=float(bounds["remote-factor"]),
--- a/packages/policy/src/samphiredeal/policy/graphs/records.py
+++ b/packages/policy/src/samphiredeal/policy/graphs/records.py
@@ -8,7 +8,6 @@
 
 import msgspec
 
-from samphiredeal.model.graph import JobRecord
 from samphiredeal.policy.graphs.state import (
     FINAL_STATES,
     LISTED,
@@ -51,17 +50,8 @@
     return msgspec.json.encode(record)
 
 
-def decode_job(data):
-    """Return the `JobRecord` in bytes; raise ValueError if unreadable."""
-    return _decode(data, JobRecord)
-
-
-def decode_progress(data):
-    """Return the `Progress` in bytes; raise ValueError if unreadable."""
-    return _decode(data, Progress)
-
-
-def _decode(data, kind):
+def decode(data, kind):
+    """Return the record of a kind in bytes; raise ValueError if unreadable."""
     try:
         return msgspec.json.decode(data, type=kind)
     except (msgspec.DecodeError, msgspec.ValidationError) as error:
--- a/packages/policy/src/samphiredeal/policy/graphs/reports.py
+++ b/packages/policy/src/samphiredeal/policy/graphs/reports.py
@@ -69,7 +69,6 @@
     if facts.leaving and not worker.leaving:
         notes.append(("worker_leaving", {"worker": worker.name}))
     worker.leaving = facts.leaving
-    worker.leaves_at = now + facts.leaving_in_ms / 1000 if facts.leaving else None
 
 
 def lose(worker, reason, notes):
--- a/packages/policy/src/samphiredeal/policy/graphs/scheduler.py
+++ b/packages/policy/src/samphiredeal/policy/graphs/scheduler.py
@@ -23,9 +23,9 @@
 _NEAR_WAIT_MAX_S = 2.0
 # The same for urgent work, which must begin within 2.7 s, stops included.
 _NEAR_WAIT_URGENT_S = 0.8
-# A gang whose members are not all listed this long after their orders left is
-# stopped and started anew, before members give up on each other after 3 s.
-_GANG_START_S = 2.0
+# A gang whose members are not all listed this share of the time after which they
+# give up on each other is stopped and started anew.
+_GANG_START_SHARE = 0.67
 # Members of a finished gang end by themselves within this.
 _LINGER_S = 1.0
 # A stop whose effect has not shown is ordered again after this.
@@ -48,10 +48,15 @@
 
 
 class GraphScheduler:
-    """All jobs and workers of a scheduler; `far_factor` as in the settings."""
+    """All jobs and workers of a scheduler.
 
-    def __init__(self, far_factor=3.0):
+    `far_factor` tells how many times as long work takes far from its data,
+    `gang_start_s` for how long members of a gang wait for each other.
+    """
+
+    def __init__(self, far_factor=3.0, gang_start_s=3.0):
         self._far_factor = far_factor
+        self._gang_limit_s = gang_start_s * _GANG_START_SHARE
         self._notes = []
         self.jobs = {}
         self.workers = {}
@@ -125,14 +130,6 @@
 
     # What the host asks
 
-    def waiting(self, queue):
-        """Return how many jobs of a queue have not begun."""
-        return sum(
-            1
-            for job in self.jobs.values()
-            if job.active and not job.begun and job.record.queue == queue
-        )
-
     def take_dirty(self):
         """Return the jobs whose progress has changed, and mark them clean."""
         dirty = [job for job in self.jobs.values() if job.dirty]
@@ -277,7 +274,7 @@
         sent = [p.sent_at for p in placements if p.sent_at is not None]
         if not sent or all(p.status == LISTED for p in placements):
             return False
-        return now - min(sent) > _GANG_START_S
+        return now - min(sent) > self._gang_limit_s
 
     def _stop(self, unit, reason):
         for placement in unit.placements.values():
--- a/packages/policy/src/samphiredeal/policy/graphs/state.py
+++ b/packages/policy/src/samphiredeal/policy/graphs/state.py
@@ -34,7 +34,6 @@
         "order_number",
         "percent",
         "percent_at",
-        "placed_at",
         "run",
         "running_since",
         "seen_at",
@@ -57,7 +56,6 @@
         self.shape = unit.room
         self.status = ORDERED
         self.committed = False
-        self.placed_at = now
         self.sent_at = None
         self.order_number = None
         self.running_since = None
@@ -272,7 +270,6 @@
         self.claims = {}
         self.labels = ()
         self.leaving = False
-        self.leaves_at = None
         self.looks = 0
         self.reachable = False
         self.placements = {}
--- a/packages/policy/tests/test_graph_scheduler.py
+++ b/packages/policy/tests/test_graph_scheduler.py
@@ -452,7 +452,7 @@
     bench.end(name, task, 1)
     bench.step()
     job = bench.scheduler.jobs["a"]
-    stored = records.decode_progress(records.encode(records.progress_of(job)))
+    stored = records.decode(records.encode(records.progress_of(job)), records.Progress)
     other = make_scheduler({})
     other.add_job(job.record, stored, 0.0)
     restored = other.jobs["a"]
--- a/packages/standins/src/samphiredeal/standins/graph_cluster.py
+++ b/packages/standins/src/samphiredeal/standins/graph_cluster.py
@@ -27,10 +27,8 @@
 _BOUNDS = {
     "config-apply-ms": 2000,
     "max-stretch-ms": 5000,
-    "drain-ms": 2000,
     "grace-s": 6,
     "max-hold-ms": 6000,
-    "stop-timeout-ms": 200,
     "gang-timeout-ms": 3000,
     "status_s": 120,
     "remote-factor": 3,
--- a/tests/graph_world.py
+++ b/tests/graph_world.py
@@ -27,7 +27,7 @@
 STEP_S = 0.05
 HEARTBEAT_S = 1.5
 LEASE_S = 6.0
-BOUNDS = Bounds(2.0, 5.0, 2.0, 6.0, LEASE_S, 0.2, 3.0, 120.0, 3.0)
+BOUNDS = Bounds(2.0, 5.0, 6.0, LEASE_S, 3.0, 120.0, 3.0)
 HOST = "desk.example"
 KEY = "key-1"
 PREFIXES = {"/urgent/": 0, "/normal/": 1}
