--- a/packages/agent/src/samphiredeal/agent/graphs/keeper.py
+++ b/packages/agent/src/samphiredeal/agent/graphs/keeper.py
@@ -25,10 +25,12 @@
 # second; the same run may be started any number of times.
 START_TIMEOUT_S = 0.5
 _START_GIVE_UP_S = 1.3
+# A worker on the same VM answers within milliseconds, if at all.
 _STOP_TIMEOUT_S = 0.4
 _RETRY_S = 0.15
 # Connections refused in a row that show that the worker's process is gone.
 _REFUSALS_OF_DEAD = 2
+# Rounding and the way of an order, on top of its deadline.
 _MARGIN_S = 0.1
 # Pauses between looks: the first keeps ends that come together in one report.
 _ENDS_PAUSE_S = 0.06
--- a/packages/agent/src/samphiredeal/agent/graphs/lifeline.py
+++ b/packages/agent/src/samphiredeal/agent/graphs/lifeline.py
@@ -9,6 +9,7 @@
 
 from samphiredeal.model.timing import TRUST_S
 
+# More reports than leave within the time for which trust lasts.
 _REMEMBERED_REPORTS = 64
 
 
--- a/packages/agent/src/samphiredeal/agent/graphs/node.py
+++ b/packages/agent/src/samphiredeal/agent/graphs/node.py
@@ -1,5 +1,7 @@
 """The agent: its worker's heartbeats, the scheduler's links, its own rows."""
 
+from typing import NamedTuple
+
 from eliot import log_message
 from twisted.internet.defer import ensureDeferred
 from twisted.internet.task import deferLater
@@ -16,19 +18,19 @@
 _REPORT_DELAY_S = 0.005
 # A scheduler silent for this long makes the agent ask the store.
 _ASK_STORE_AFTER_S = 1.5
+# Then it asks about as often as it would report, well within its trust of 3 s.
 _ASK_STORE_EVERY_S = 0.8
 _REGISTER_RETRY_S = 0.3
 # How often an agent without a scheduler makes sure that it can be found.
 _REGISTER_AGAIN_S = 10.0
 
 
-class Rows:
+class Rows(NamedTuple):
     """The keys of an agent's own rows and the row that announces it."""
 
-    def __init__(self, announce_key, announce_value, evicted_key):
-        self.announce_key = announce_key
-        self.announce_value = announce_value
-        self.evicted_key = evicted_key
+    announce_key: str
+    announce_value: bytes
+    evicted_key: str
 
 
 class GraphAgent:
--- a/packages/entry/src/samphiredeal/entry/graphs/daytime.py
+++ b/packages/entry/src/samphiredeal/entry/graphs/daytime.py
@@ -6,6 +6,7 @@
 
 import collections
 
+# A minute of samples: a jump shows once it has lasted for half of that.
 _SAMPLES = 61
 SAMPLE_EVERY_S = 1.0
 
--- a/packages/entry/src/samphiredeal/entry/graphs/dispatcher.py
+++ b/packages/entry/src/samphiredeal/entry/graphs/dispatcher.py
@@ -23,9 +23,11 @@
 
 # Events that arrive together are decided together.
 _ROUND_DELAY_S = 0.01
+# How often silence, due times and stalled runs are looked at without an event.
 _TICK_S = 0.2
 # Jobs in one transaction: three entries each, of the hundred allowed.
 _JOBS_PER_WRITE = 30
+# The pause after a write that the store refused or did not answer.
 _STORE_PAUSE_S = 0.15
 # How often the rows of old jobs are deleted.
 _FORGET_EVERY_S = 2.0
--- a/packages/entry/src/samphiredeal/entry/graphs/intake.py
+++ b/packages/entry/src/samphiredeal/entry/graphs/intake.py
@@ -33,6 +33,7 @@
 _TRY_S = 0.5
 # Without a sign of the store for this long, nothing is written at all.
 STORE_SILENT_S = 1.7
+# Between tries of one write: a passing refusal is over by then.
 _RETRY_PAUSE_S = 0.15
 # Time kept for the way of the answer back to the caller.
 _ANSWER_SLACK_S = 0.15
--- a/packages/entry/src/samphiredeal/entry/graphs/node.py
+++ b/packages/entry/src/samphiredeal/entry/graphs/node.py
@@ -24,6 +24,7 @@
 # a configuration must be in force.
 _OPERATIONS_PAUSE_S = 0.1
 _WORK_PAUSE_S = 0.01
+# How often the beat is looked after; a tenth of a second late at most.
 _LEADER_TICK_S = 0.1
 # Knowledge older than this means that the store cannot be reached from here.
 _READY_MAX_AGE_S = 2.2
--- a/packages/platform/src/samphiredeal/platform/callers.py
+++ b/packages/platform/src/samphiredeal/platform/callers.py
@@ -5,6 +5,7 @@
 from samphiredeal.model.graph import GraphSpec, StepSpec, fault_of
 from samphiredeal.model.shape import Shape
 
+# Ids have 16 characters; this leaves room and bounds a row's key.
 _MAX_ID_CHARS = 64
 _ID_CHARS = set("0123456789abcdefABCDEF")
 
--- a/packages/platform/src/samphiredeal/platform/client.py
+++ b/packages/platform/src/samphiredeal/platform/client.py
@@ -38,9 +38,11 @@
 CALL_TIMEOUT_S = 1.5
 # The same beyond the time for which a call for changes may wait at the store.
 _CHANGES_TIMEOUT_S = 0.8
+# One process may take a part of the store's rates at most, whatever goes wrong.
 MAX_IN_FLIGHT = 64
 MAX_CALLS_PER_S = 400
 _MAX_CONNECTIONS = 16
+# The most rows that the store gives in one answer.
 _PAGE_ROWS = 500
 _JSON = Headers({b"content-type": [b"application/json"]})
 # Answers by which a service says that it did nothing.
--- a/packages/policy/src/samphiredeal/policy/graphs/health.py
+++ b/packages/policy/src/samphiredeal/policy/graphs/health.py
@@ -19,6 +19,7 @@
 STALL_MIN_S = 1.5
 # So many looks without progress show that it is not the look that is missing.
 _STALL_LOOKS = 3
+# So many percent of the estimate without one percent of progress.
 _STALL_PERCENTS = 8
 # A run at less than this share of its siblings' speed is worth starting anew
 # elsewhere if most of it is left. Tasks of a step differ by up to six times on
@@ -26,6 +27,8 @@
 _CRAWL_SHARE = 0.15
 _CRAWL_LEFT_MIN = 0.6
 _SIBLINGS_MIN = 3
+# How long a worker is avoided after a run stood still there: such spells of
+# workers last about this long.
 _STALL_MEMORY_S = 6.0
 
 
