--- a/packages/agent/src/samphiredeal/agent/graphs/keeper.py
+++ b/packages/agent/src/samphiredeal/agent/graphs/keeper.py
@@ -350,8 +350,8 @@
 
     def _settle(self, began_at):
         """Close what a look that began at this time makes certain."""
-        listed = {(one.task, one.run) for one in self._look.running}
-        listed |= {(one.task, one.run) for one in self._look.ended}
+        running = {(one.task, one.run) for one in self._look.running}
+        listed = running | {(one.task, one.run) for one in self._look.ended}
         for run in list(self._starts):
             sure_after = self._starts[run].sure_after
             if run in listed:
@@ -362,7 +362,6 @@
         for run, started_at in list(self._started.items()):
             if run in listed or began_at > started_at:
                 del self._started[run]
-        running = {(one.task, one.run) for one in self._look.running}
         for run, stop in list(self._stops.items()):
             if stop.answered_at is None or began_at <= stop.answered_at:
                 continue
--- a/packages/entry/src/samphiredeal/entry/graphs/intake.py
+++ b/packages/entry/src/samphiredeal/entry/graphs/intake.py
@@ -155,9 +155,9 @@
         known = await self._known(job_id)
         if known is not True:
             return known
-        key = work.cancel_key(job_id)
-        if key in self._view.cancels:
+        if job_id in self._view.cancels:
             return JobAnswer(answers.CANCELLED)
+        key = work.cancel_key(job_id)
         answer = await self._write(call, [Condition(key, 0)], [Put(key, b"{}")])
         if isinstance(answer, Committed | Conflict):
             return JobAnswer(answers.CANCELLED)
--- a/packages/entry/src/samphiredeal/entry/graphs/sessions.py
+++ b/packages/entry/src/samphiredeal/entry/graphs/sessions.py
@@ -134,7 +134,7 @@
 
     def _send(self, session, now):
         number = session.order_number + 1
-        starts, stops = self._dispatcher.scheduler.orders_for(session.name, now, number)
+        starts, stops = self._dispatcher.scheduler.orders_for(session.name, now)
         due = now - session.orders_at >= _ORDERS_EVERY_S
         ends = session.ends_recorded
         if not (starts or stops or due or ends != session.ends_sent):
--- a/packages/policy/src/samphiredeal/policy/graphs/reports.py
+++ b/packages/policy/src/samphiredeal/policy/graphs/reports.py
@@ -10,7 +10,6 @@
     FAILED,
     LISTED,
     ORDERED,
-    QUEUED,
     Placement,
 )
 
@@ -100,7 +99,7 @@
     job = unit.job
     if not job.begun and job.active:
         job.begun = True
-        job.state = ACTIVE if job.state == QUEUED else job.state
+        job.state = ACTIVE
         job.dirty = True
     return placement
 
@@ -236,9 +235,8 @@
             placement.sent_at = None
         if placement.sent_at is None or placement.status == LISTED:
             continue
-        seen = report.orders_seen >= (placement.order_number or 0)
         late = now - placement.sent_at > _REORDER_S
-        if run not in pending and run not in listed and (seen or late) and late:
+        if late and run not in pending and run not in listed:
             placement.sent_at = None
 
 
--- a/packages/policy/src/samphiredeal/policy/graphs/scheduler.py
+++ b/packages/policy/src/samphiredeal/policy/graphs/scheduler.py
@@ -182,7 +182,7 @@
             if not self._place(unit, unit.job.id in covered, now, clock):
                 blocked.add(alike)
 
-    def orders_for(self, worker_name, now, number):
+    def orders_for(self, worker_name, now):
         """Return (starts, stops) that are due to be sent to a worker's agent."""
         worker = self.workers[worker_name]
         starts, stops = [], []
@@ -196,7 +196,6 @@
                     stops.append((placement.task, placement.run))
             elif placement.status == ORDERED and placement.sent_at is None:
                 placement.sent_at = now
-                placement.order_number = number
                 ticket = self.tickets.text_for(placement.unit, worker)
                 starts.append(_start_order(placement, ticket))
         stops += [(run.task, run.run) for run in worker.foreign_runs]
@@ -259,7 +258,7 @@
             for other in self.workers.values()
             if other is not worker
             and fitting.allowed(self, unit, other)
-            and health.suspicion(other) < 1.0
+            and health.suspicion(other) < health.SICK
         ]
         places = fitting.find(
             unit, others, lambda other: other.room_for(unit), self._far_factor
--- a/packages/policy/src/samphiredeal/policy/graphs/state.py
+++ b/packages/policy/src/samphiredeal/policy/graphs/state.py
@@ -31,7 +31,6 @@
         "first_look",
         "index",
         "life",
-        "order_number",
         "percent",
         "percent_at",
         "run",
@@ -57,7 +56,6 @@
         self.status = ORDERED
         self.committed = False
         self.sent_at = None
-        self.order_number = None
         self.running_since = None
         self.percent = 0
         self.percent_at = now
--- a/packages/policy/tests/test_graph_scheduler.py
+++ b/packages/policy/tests/test_graph_scheduler.py
@@ -46,7 +46,7 @@
                 for placement in unit.placements.values():
                     placement.committed = True
         for name in self.facts:
-            starts, stops = self.scheduler.orders_for(name, self.now, self.looks)
+            starts, stops = self.scheduler.orders_for(name, self.now)
             for order in starts:
                 self.running[name][(order.task, order.run)] = self.now
             for task, run in stops:
--- a/tests/test_graph_path.py
+++ b/tests/test_graph_path.py
@@ -62,6 +62,20 @@
     assert len(world.ledger.starts()) == 2
 
 
+def test_repeat_of_a_cancel_writes_nothing():
+    world = make_graph_world()
+    world.submit("e0", "a1", [LONG])
+    for _ in range(2):
+        world.settle(world.call("e1", answers.CANCEL, "/normal/a1"))
+        world.run(1.0)
+    e1 = world.nodes["e1"]
+    assert world.scheduler() != "e1"
+    before = e1.faults.writes
+    answer = world.settle(world.call("e1", answers.CANCEL, "/normal/a1"))
+    assert answer.kind == answers.CANCELLED
+    assert e1.faults.writes == before
+
+
 def test_unknown_queue_key_and_job():
     world = make_graph_world()
     calls = [
