Wait for the rack on which a gang or its data runs at full speed

A gang went to several racks after 0.8 s (urgent) or 2 s, a step with data on a rack at once. Ruled out: slow workers (all ends came together at three times the estimate), a stall (progress was steady). Change: a unit waits for a near place as long as it would lose by a far one, 0.8 s if its account's guarantee pays for it, 1.5 s if most of the cluster is idle; while room is made for it, it waits for that room. Also collects the speeds of a step's runs once for each plan: the check for crawling runs took a third of the time of a plan.

--- /dev/null
+++ b/bench/graphs.py
@@ -0,0 +1,51 @@
+"""The scheduler of job graphs on modelled days: ``python -m bench.graphs SEEDS LOAD``.
+
+Prints for each site what a day earns: worth, its share in time, work thrown away.
+"""
+
+import multiprocessing
+import statistics
+
+import defopt
+
+from bench import graph_load
+from bench.graph_drive import GraphDrive
+from samphiredeal.policy.graphs.scheduler import GraphScheduler
+
+
+def _play(day):
+    site, seed, load = day
+    return GraphDrive(site, seed, GraphScheduler(), load).run()
+
+
+def main(seeds=8, load=2.0, *, jobs=4):
+    """Play days of the grown sites.
+
+    Parameters
+    ----------
+    seeds : int
+        How many days of each site.
+    load : float
+        How many times the sheet's rate of arrivals.
+    jobs : int
+        Processes at a time.
+    """
+    for site in (graph_load.HANBIT_GROWN, graph_load.TIDEWATER_GROWN):
+        days = [(site, seed, load) for seed in range(seeds)]
+        with multiprocessing.Pool(jobs) as pool:
+            outcomes = pool.map(_play, days, chunksize=1)
+        figures = {
+            "worth": [one.worth for one in outcomes],
+            "earned": [one.earned for one in outcomes],
+            "wasted": [one.waste_share for one in outcomes],
+        }
+        for kind in site.kinds:
+            figures[kind.name] = [one.by_kind.get(kind.name, 1.0) for one in outcomes]
+        means = " ".join(
+            f"{name}={statistics.mean(values):.3f}" for name, values in figures.items()
+        )
+        print(f"{site.name} {means}")
+
+
+if __name__ == "__main__":
+    defopt.run(main)
--- a/packages/policy/src/samphiredeal/policy/graphs/fitting.py
+++ b/packages/policy/src/samphiredeal/policy/graphs/fitting.py
@@ -71,20 +71,38 @@
     return cost
 
 
-def find(unit, workers, room_of, far_factor):
+def near_groups(unit, workers):
+    """Return the groups of workers on which the unit runs at full speed.
+
+    A unit whose data lies on a rack, or whose members work best on one, needs
+    a rack that could hold it. Without such a wish all workers are one group.
+    """
+    near = workers
+    if unit.spec.data_rack:
+        near = [one for one in workers if unit.spec.data_rack in one.labels]
+    elif not _wants_one_rack(unit):
+        return [workers]
+    groups = by_rack(near).values() if _wants_one_rack(unit) else [near]
+    return [group for group in groups if could_hold(unit, group)]
+
+
+def _wants_one_rack(unit):
+    return unit.spec.gang and unit.spec.one_rack and unit.count > 1
+
+
+def find(unit, workers, room_of, far_factor, far_allowed):
     """Return places for the whole unit in free room, or None.
 
     `workers` are those allowed; `room_of(worker)` is what may be used there.
-    A unit that works best on one rack is given places on one rack only.
+    Only if `far_allowed` may it run where it takes longer.
     """
-    groups = [workers]
-    if unit.spec.gang and unit.spec.one_rack and unit.count > 1:
-        groups = list(by_rack(workers).values())
     best = None
-    for group in groups:
+    for group in near_groups(unit, workers):
         found = _find_in(unit, group, room_of, far_factor)
         if found is not None and (best is None or found[0] < best[0]):
             best = found
+    if best is None and far_allowed:
+        best = _find_in(unit, workers, room_of, far_factor)
     return best and best[1]
 
 
--- a/packages/policy/src/samphiredeal/policy/graphs/health.py
+++ b/packages/policy/src/samphiredeal/policy/graphs/health.py
@@ -114,18 +114,17 @@
     return still_s > max(STALL_MIN_S, expected_s)
 
 
-def crawls(placement, siblings):
+def crawls(placement, speeds):
     """Return whether a run is far slower than its siblings on other workers.
 
+    `speeds` are the (speed, worker) of all runs of its step, slowest first.
     Estimates are far off from job to job, but alike for the tasks of a step.
     """
     speed = placement.speed
-    others = sorted(
-        other.speed
-        for other in siblings
-        if other.worker != placement.worker and other.speed is not None
-    )
-    if speed is None or len(others) < _SIBLINGS_MIN:
+    if speed is None or not speeds or speed >= _CRAWL_SHARE * speeds[-1][0]:
+        return False
+    others = [other for other, worker in speeds if worker != placement.worker]
+    if len(others) < _SIBLINGS_MIN:
         return False
     usual = others[len(others) // 2]
     left = 1 - placement.percent / 100
--- a/packages/policy/src/samphiredeal/policy/graphs/reclaim.py
+++ b/packages/policy/src/samphiredeal/policy/graphs/reclaim.py
@@ -39,23 +39,19 @@
     return _cores(unit) * total_s
 
 
-def find(unit, workers, may_displace, now):
+def find(unit, workers, may_displace, far_allowed, now):
     """Return (cost, places, victims) that let the whole unit start soon, or None.
 
-    `may_displace(victim)` says which units may be stopped. A unit that works
-    best on one rack is given one rack, if any could hold it.
+    `may_displace(victim)` says which units may be stopped. Only if `far_allowed`
+    may the unit run where it takes longer.
     """
-    groups = [workers]
-    if unit.spec.gang and unit.spec.one_rack and unit.count > 1:
-        groups = list(fitting.by_rack(workers).values()) + [workers]
     best = None
-    for number, group in enumerate(groups):
-        far = len(groups) > 1 and number == len(groups) - 1
-        if far and best is not None:
-            break
+    for group in fitting.near_groups(unit, workers):
         found = _find_in(unit, group, may_displace, now)
         if found is not None and (best is None or found[0] < best[0]):
             best = found
+    if best is None and far_allowed:
+        best = _find_in(unit, workers, may_displace, now)
     return best
 
 
--- a/packages/policy/src/samphiredeal/policy/graphs/scheduler.py
+++ b/packages/policy/src/samphiredeal/policy/graphs/scheduler.py
@@ -7,6 +7,7 @@
 from typing import NamedTuple
 
 from samphiredeal.model.runs import StartOrder
+from samphiredeal.model.shape import NOTHING
 from samphiredeal.policy.graphs import fitting, health, ordering, reclaim, records
 from samphiredeal.policy.graphs import reports as reporting
 from samphiredeal.policy.graphs.state import (
@@ -19,10 +20,14 @@
 )
 from samphiredeal.policy.graphs.tickets import Tickets
 
-# Longest wait for the rack that suits a unit best while others are free.
-_NEAR_WAIT_MAX_S = 2.0
-# The same for urgent work, which must begin within 2.7 s, stops included.
-_NEAR_WAIT_URGENT_S = 0.8
+# Work that its account's guarantee pays for must begin within 2.7 s, stops
+# included: it waits this long for room on one rack while others are free.
+_NEAR_WAIT_COVERED_S = 0.8
+# With so little of the workers in use and room for this many of a unit, nothing
+# may stand still for 3 s: it waits half of that for the place that suits it.
+_NEAR_WAIT_IDLE_S = 1.5
+_IDLE_SHARE = 0.5
+_IDLE_ROOM_FACTOR = 2
 # A gang whose members are not all listed this share of the time after which they
 # give up on each other is stopped and started anew.
 _GANG_START_SHARE = 0.67
@@ -64,6 +69,8 @@
         self.guarantees = {}
         self.tickets = Tickets()
         self._question = None
+        # Speeds of the runs of a step, collected once for each plan.
+        self._step_speeds = {}
 
     # What the host tells
 
@@ -210,6 +217,7 @@
         return worker
 
     def _stop_what_should_not_run(self, now):
+        self._step_speeds = {}
         for worker in self.workers.values():
             for placement in worker.placements.values():
                 if not placement.stopping:
@@ -244,13 +252,10 @@
         unit = placement.unit
         if unit.spec.lasting or unit.spec.count < 2 or placement.speed is None:
             return False
-        siblings = [
-            other
-            for sibling in unit.job.units.values()
-            if sibling.step == unit.step and sibling.occurrence == unit.occurrence
-            for other in sibling.placements.values()
-        ]
-        return health.crawls(placement, siblings)
+        step = (unit.job.id, unit.occurrence, unit.step)
+        if step not in self._step_speeds:
+            self._step_speeds[step] = _speeds_of(unit)
+        return health.crawls(placement, self._step_speeds[step])
 
     def _has_other_place(self, unit, worker):
         others = [
@@ -261,7 +266,11 @@
             and health.suspicion(other) < health.SICK
         ]
         places = fitting.find(
-            unit, others, lambda other: other.room_for(unit), self._far_factor
+            unit,
+            others,
+            lambda other: other.room_for(unit),
+            self._far_factor,
+            far_allowed=True,
         )
         return places is not None
 
@@ -379,16 +388,15 @@
         def room_of(worker):
             return worker.room_for(unit)
 
-        places = fitting.find(unit, workers, room_of, self._far_factor)
-        if places is None and self._may_go_far(unit, workers, now):
-            places = fitting.find(_Anywhere(unit), workers, room_of, self._far_factor)
+        far_allowed = self._may_go_far(unit, workers, covered, now)
+        places = fitting.find(unit, workers, room_of, self._far_factor, far_allowed)
         if places is not None:
             self._start(unit, places, now)
             return True
         if unit.job.urgent and not unit.claim:
             share = clock.share(unit.job, unit.step)
             if covered or _members_under_way(unit) < share:
-                self._reclaim(unit, workers, covered, now)
+                self._reclaim(unit, workers, covered, far_allowed, now)
         return False
 
     def _ticketed(self, unit, workers):
@@ -400,15 +408,23 @@
             self._question = self.tickets.question(unit, by_room)
         return ready
 
-    def _may_go_far(self, unit, workers, now):
-        """Return whether a gang may be split over racks by now."""
-        if not (unit.spec.one_rack and unit.spec.gang):
-            return False
-        groups = fitting.by_rack(workers).values()
-        if not any(fitting.could_hold(unit, group) for group in groups):
+    def _may_go_far(self, unit, workers, covered, now):
+        """Return whether a unit may be given places where it takes longer.
+
+        Far from its data, or split over racks, it runs `far_factor` times as
+        long and keeps its room from others for that time, so it first waits for
+        as long as it would lose.
+        """
+        groups = fitting.near_groups(unit, workers)
+        if unit.claim:
+            names = [{one.name for one in group} for group in groups]
+            return not any(unit.claim.keys() <= group for group in names)
+        longer_s = (self._far_factor - 1) * unit.estimate_s
+        limit_s = _NEAR_WAIT_COVERED_S if covered else longer_s
+        waited_s = now - unit.ready_since
+        if not groups or waited_s > limit_s:
             return True
-        limit_s = _NEAR_WAIT_URGENT_S if unit.job.urgent else _NEAR_WAIT_MAX_S
-        return now - unit.ready_since > limit_s
+        return waited_s > _NEAR_WAIT_IDLE_S and _are_idle(workers, unit)
 
     def _start(self, unit, places, now):
         unit.run += 1
@@ -436,7 +452,7 @@
         )
         unit.ready_since = None
 
-    def _reclaim(self, unit, workers, covered, now):
+    def _reclaim(self, unit, workers, covered, far_allowed, now):
         """Stop other work so that the unit can start soon, if it may."""
         paid = self._covered_jobs()
 
@@ -447,7 +463,7 @@
                 return not _nearly_done(victim)
             return covered and victim.job.urgent and victim.job.id not in paid
 
-        found = reclaim.find(unit, workers, may_displace, now)
+        found = reclaim.find(unit, workers, may_displace, far_allowed, now)
         if found is None:
             return
         cost, places, victims = found
@@ -458,6 +474,29 @@
             self._stop(victim, f"its room is reclaimed for job {unit.job.id}")
 
 
+def _are_idle(workers, unit):
+    """Return whether workers have room for the unit and as much again to spare."""
+    copies = sum(fitting.copies_in(unit, one, one.free) for one in workers)
+    if copies < _IDLE_ROOM_FACTOR * unit.count:
+        return False
+    used, total = NOTHING, NOTHING
+    for worker in workers:
+        used, total = used.plus(worker.used), total.plus(worker.capacity)
+    shares = [part / whole for part, whole in zip(used, total, strict=True) if whole]
+    return min(shares, default=0.0) < _IDLE_SHARE
+
+
+def _speeds_of(unit):
+    """Return the known (speed, worker) of all runs of a unit's step, in order."""
+    return sorted(
+        (placement.speed, placement.worker)
+        for sibling in unit.job.units.values()
+        if sibling.step == unit.step and sibling.occurrence == unit.occurrence
+        for placement in sibling.placements.values()
+        if placement.speed is not None
+    )
+
+
 def _members_under_way(unit):
     """Return how many members of a unit's step run or have room made for them."""
     return sum(
@@ -480,18 +519,3 @@
     unit = placement.unit
     payload = unit.job.record.spec.payload
     return StartOrder(placement.task, placement.run, payload, unit.checkpoint, ticket)
-
-
-class _Anywhere:
-    """A unit whose members need not share a rack."""
-
-    def __init__(self, unit):
-        self._unit = unit
-
-    def __getattr__(self, name):
-        return getattr(self._unit, name)
-
-    @property
-    def spec(self):
-        """The step without the wish for one rack."""
-        return self._unit.spec._replace(one_rack=False)
--- /dev/null
+++ b/packages/policy/tests/test_graph_load.py
@@ -0,0 +1,56 @@
+"""Decisions on job graphs under load; each test names the pattern it answers."""
+
+from graph_bench import Bench
+from graph_builders import make_facts, make_record, make_step
+
+
+def make_racks(racks=2, per_rack=2):
+    """Return workers of eight accelerators, each labelled by its place on its rack."""
+    return {
+        f"w{n}": make_facts(
+            f"w{n}", labels=("kind", f"place{n % per_rack}", f"r{n // per_rack}")
+        )
+        for n in range(racks * per_rack)
+    }
+
+
+def test_busy_racks_ahead_of_a_gang_that_wants_one():
+    """A gang split over racks would run three times as long; it waits first."""
+    bench = Bench(make_racks())
+    fill = make_step(2, 8, label="place0", estimate_ms=30_000)
+    bench.add(make_record("fill", [fill], priority=0))
+    bench.step()
+    assert bench.places("fill") == ["w0", "w2"]
+    gang = make_step(2, 8, gang=True, one_rack=True, estimate_ms=5000)
+    bench.add(make_record("gang", [gang], priority=0))
+    bench.step(0.1).step(0.9).step(4.0).step(4.0)
+    assert bench.places("gang") == []
+    bench.step(2.0).step(0.1)
+    assert bench.places("gang") == ["w1", "w3"]
+
+
+def test_busy_rack_with_the_data_of_a_step():
+    """A task far from its data takes three times as long; it waits first."""
+    bench = Bench(make_racks())
+    bench.add(make_record("fill", [make_step(2, 6, data_rack="r0")], priority=0))
+    bench.step()
+    assert bench.places("fill") == ["w0", "w1"]
+    bench.add(make_record("near", [make_step(1, 8, data_rack="r0")]))
+    bench.step(0.1).step(1.0)
+    assert bench.places("near") == []
+    bench.end_all("fill")
+    bench.step(0.1).step(0.1)
+    assert bench.places("near")[0] in ("w0", "w1")
+
+
+def test_idle_cluster_beside_a_busy_rack():
+    """With most of the cluster idle nothing stands still for its best place."""
+    bench = Bench(make_racks(4))
+    bench.add(make_record("fill", [make_step(2, 8, data_rack="r0")], priority=0))
+    bench.step()
+    step = make_step(1, 8, data_rack="r0", estimate_ms=30_000)
+    bench.add(make_record("near", [step]))
+    bench.step(0.1).step(1.4)
+    assert bench.places("near") == []
+    bench.step(0.3).step(0.1)
+    assert len(bench.places("near")) == 1
--- a/packages/policy/tests/test_graph_scheduler.py
+++ b/packages/policy/tests/test_graph_scheduler.py
@@ -1,107 +1,17 @@
 """Decisions on job graphs, each named after the load or fault that it answers."""
 
 import pytest
-from graph_builders import (
-    make_facts,
-    make_record,
-    make_report,
-    make_scheduler,
-    make_step,
-)
+from graph_bench import Bench, make_workers
+from graph_builders import make_facts, make_record, make_scheduler, make_step
 
 from samphiredeal.model import runs
 from samphiredeal.model.graph import GraphSpec, fault_of
 from samphiredeal.model.operations import AdviceTerms
-from samphiredeal.model.runs import Ended, Refused, Running
+from samphiredeal.model.runs import Refused
 from samphiredeal.policy.graphs import health, records
 from samphiredeal.policy.graphs.state import COMPLETED, FAILED
 
 
-class Bench:
-    """A scheduler with workers that do at once what they are told."""
-
-    def __init__(self, workers):
-        self.facts = dict(workers)
-        self.scheduler = make_scheduler(self.facts)
-        self.now = 0.0
-        self.running = {name: {} for name in workers}
-        self.ends = {name: [] for name in workers}
-        self.percent = {}
-        self.looks = 0
-        self.frozen = set()
-
-    def add(self, *records_):
-        for record in records_:
-            self.scheduler.add_job(record, None, self.now)
-
-    def step(self, seconds=0.0):
-        """Let time pass, report, plan, commit and carry orders out."""
-        self.now += seconds
-        self.looks += 1
-        for name in self.facts:
-            self.report(name)
-        self.scheduler.plan(self.now, int(self.now * 1000))
-        for job in self.scheduler.take_dirty():
-            for unit in job.units.values():
-                for placement in unit.placements.values():
-                    placement.committed = True
-        for name in self.facts:
-            starts, stops = self.scheduler.orders_for(name, self.now)
-            for order in starts:
-                self.running[name][(order.task, order.run)] = self.now
-            for task, run in stops:
-                if self.running[name].pop((task, run), None) is not None:
-                    self.end(name, task, run, runs.STOPPED)
-        return self
-
-    def report(self, name, **fields):
-        listed = tuple(
-            Running(task, run, "", self.percent.get((name, task), self.looks % 90))
-            for task, run in self.running[name]
-        )
-        self.scheduler.absorb(
-            name,
-            make_report(
-                self.facts[name],
-                running=listed,
-                ended=tuple(self.ends[name]),
-                looks=self.looks,
-                **fields,
-            ),
-            self.now,
-        )
-
-    def end(self, name, task, run, how=runs.DONE, checkpoint=""):
-        self.running[name].pop((task, run), None)
-        number = len(self.ends[name]) + 1
-        self.ends[name].append(Ended(number, task, run, how, checkpoint))
-
-    def end_all(self, job_id, how=runs.DONE):
-        for name, listed in self.running.items():
-            for task, run in list(listed):
-                if task.startswith(job_id + "."):
-                    self.end(name, task, run, how)
-
-    def places(self, job_id):
-        """Return the worker names that run a job's tasks."""
-        return sorted(
-            name
-            for name, listed in self.running.items()
-            for task, _run in listed
-            if task.startswith(job_id + ".")
-        )
-
-    def state(self, job_id):
-        return self.scheduler.jobs[job_id].state
-
-
-def make_workers(count=4, per_rack=2, **fields):
-    return {
-        f"w{n}": make_facts(f"w{n}", "ab"[n % 2], f"r{n // per_rack}", **fields)
-        for n in range(count)
-    }
-
-
 def test_later_steps_wait_for_earlier_ones():
     bench = Bench(make_workers())
     bench.add(make_record("a", [make_step(2), make_step(1, after=(0,))]))
