--- a/bench/graphs.py
+++ b/bench/graphs.py
@@ -1,4 +1,4 @@
-"""The scheduler of job graphs on modelled days: ``python -m bench.graphs SEEDS LOAD``.
+"""The scheduler of job graphs on modelled days: ``python -m bench.graphs 8 2.0``.
 
 Prints for each site what a day earns: worth, its share in time, work thrown away.
 """
