--- a/packages/policy/src/samphiredeal/policy/graphs/scheduler.py
+++ b/packages/policy/src/samphiredeal/policy/graphs/scheduler.py
@@ -10,6 +10,7 @@
 from samphiredeal.model.shape import NOTHING
 from samphiredeal.policy.graphs import fitting, health, ordering, reclaim, records
 from samphiredeal.policy.graphs import reports as reporting
+from samphiredeal.policy.graphs.headroom import Headroom, free_share
 from samphiredeal.policy.graphs.state import (
     CANCELLED,
     LISTED,
@@ -35,6 +36,9 @@
 _LINGER_S = 1.0
 # A stop whose effect has not shown is ordered again after this.
 _STOP_AGAIN_S = 0.5
+# Work keeps room free for others only while it can start this share of its
+# estimate later and still end in time: estimates are off by up to a half.
+_YIELD_SLACK_SHARE = 0.3
 # Runs this close to their end are not moved aside.
 _NEARLY_DONE_PERCENT = 90
 # A step that is wider than this part of the room is expected to run in waves.
@@ -68,6 +72,7 @@
         self.zones_out = frozenset()
         self.guarantees = {}
         self.tickets = Tickets()
+        self._headroom = Headroom()
         self._question = None
         # Speeds of the runs of a step, collected once for each plan.
         self._step_speeds = {}
@@ -390,6 +395,8 @@
 
         far_allowed = self._may_go_far(unit, workers, covered, now)
         places = fitting.find(unit, workers, room_of, self._far_factor, far_allowed)
+        if places is not None and self._yields(unit, workers, now, clock):
+            return False
         if places is not None:
             self._start(unit, places, now)
             return True
@@ -399,6 +406,25 @@
                 self._reclaim(unit, workers, covered, far_allowed, now)
         return False
 
+    def _yields(self, unit, workers, now, clock):
+        """Return whether a unit leaves free room to urgent work to come."""
+        used, total = _room_of(workers)
+        if unit.job.urgent:
+            self._headroom.note(unit, total, now)
+            return False
+        if unit.spec.lasting or unit.claim:
+            return False
+        slack_s = ordering.latest_start_s(unit, clock)
+        if slack_s < _YIELD_SLACK_SHARE * unit.estimate_s:
+            return False
+        left = free_share(used.plus(unit.room.times(unit.count)), total)
+        if left >= self._headroom.share(now):
+            return False
+        # A job of which nothing runs must not wait for long on an idle cluster.
+        waited_s = now - unit.ready_since
+        waits_whole = not unit.job.holds_room and waited_s > _NEAR_WAIT_IDLE_S
+        return not (waits_whole and _are_idle(workers, unit))
+
     def _ticketed(self, unit, workers):
         """Return the workers with a ticket; ask about the others if needed."""
         ready = [one for one in workers if self.tickets.allow(unit, one)]
@@ -479,11 +505,17 @@
     copies = sum(fitting.copies_in(unit, one, one.free) for one in workers)
     if copies < _IDLE_ROOM_FACTOR * unit.count:
         return False
+    used, total = _room_of(workers)
+    shares = [part / whole for part, whole in zip(used, total, strict=True) if whole]
+    return min(shares, default=0.0) < _IDLE_SHARE
+
+
+def _room_of(workers):
+    """Return (room in use, all room) of some workers."""
     used, total = NOTHING, NOTHING
     for worker in workers:
         used, total = used.plus(worker.used), total.plus(worker.capacity)
-    shares = [part / whole for part, whole in zip(used, total, strict=True) if whole]
-    return min(shares, default=0.0) < _IDLE_SHARE
+    return used, total
 
 
 def _speeds_of(unit):
--- a/packages/policy/tests/test_graph_load.py
+++ b/packages/policy/tests/test_graph_load.py
@@ -54,3 +54,41 @@
     assert bench.places("near") == []
     bench.step(0.3).step(0.1)
     assert len(bench.places("near")) == 1
+
+
+def test_many_small_tasks_ahead_of_the_next_urgent_gang():
+    """Small tasks leave the room that urgent gangs have asked for of late."""
+    bench = Bench(make_racks(4))
+    gang = make_step(1, 8, gang=True, estimate_ms=5000)
+    bench.add(make_record("first", [gang], priority=0))
+    bench.step()
+    bench.end_all("first")
+    bench.step(0.1)
+    bench.add(make_record("small", [make_step(64, 1, estimate_ms=20_000)]))
+    bench.step(0.1).step(0.1)
+    assert len(bench.places("small")) == 64 - 16
+    bench.add(make_record("next", [gang], priority=0))
+    bench.step(0.1)
+    assert len(bench.places("next")) == 1
+    assert len(bench.places("small")) == 64 - 16
+
+
+def test_small_tasks_whose_time_runs_out_take_the_room_kept_for_others():
+    bench = Bench(make_racks(4))
+    gang = make_step(1, 8, gang=True, estimate_ms=5000)
+    bench.add(make_record("first", [gang], priority=0))
+    bench.step()
+    bench.end_all("first")
+    step = make_step(64, 1, estimate_ms=20_000)
+    bench.add(make_record("small", [step], stretch=0.25, target_latency_ms=8000))
+    bench.step(0.1).step(0.1)
+    assert len(bench.places("small")) == 64 - 16
+    bench.step(2.0).step(0.1)
+    assert len(bench.places("small")) == 64
+
+
+def test_no_room_is_kept_where_nothing_urgent_has_come():
+    bench = Bench(make_racks(4))
+    bench.add(make_record("small", [make_step(64, 1, estimate_ms=20_000)]))
+    bench.step(0.1)
+    assert len(bench.places("small")) == 64
