--- a/Makefile
+++ b/Makefile
@@ -5,7 +5,7 @@
 
 SEED ?= 1
 
-.PHONY: demo test lint bench slopes speed binary soak
+.PHONY: demo test lint bench graphs slopes speed binary soak
 
 $(READY): requirements.txt requirements-dev.txt $(wildcard packages/*/pyproject.toml)
 	test -x $(PYTHON) || python3 -m venv $(VENV)
@@ -32,6 +32,9 @@
 bench: $(READY)
 	$(PYTHON) -m bench.main
 
+graphs: $(READY)
+	$(PYTHON) -m bench.graphs
+
 slopes: $(READY)
 	$(PYTHON) -m bench.slopes
 
--- /dev/null
+++ b/bench/graph_baseline.py
@@ -0,0 +1,31 @@
+"""The baseline for job graphs: arrival order, first fit, nothing displaced."""
+
+from samphiredeal.policy.graphs import fitting
+from samphiredeal.policy.graphs.scheduler import GraphScheduler
+
+
+class FirstFitScheduler(GraphScheduler):
+    """Has the same events as the real one; what does not fit is passed over."""
+
+    def plan(self, now, wall_ms):
+        """Start whatever fits, in order of arrival, on the first workers."""
+        for job in self.jobs.values():
+            if job.active:
+                job.add_due_occurrences(wall_ms)
+        self._stop_what_should_not_run(now)
+        waiting = self._waiting_units(now)
+        waiting.sort(key=lambda unit: (unit.job.record.accepted_ms, unit.job.id))
+        for unit in waiting:
+            places = self._first_fit(unit)
+            if places is not None:
+                self._start(unit, places, now)
+
+    def _first_fit(self, unit):
+        places, missing = {}, unit.count
+        for worker in self.workers.values():
+            if missing and fitting.allowed(self, unit, worker):
+                taken = min(missing, fitting.copies_in(unit, worker, worker.free))
+                if taken:
+                    places[worker.name] = taken
+                    missing -= taken
+        return None if missing else places
