Put the decision to wait into a module of its own; log what units wait for

The log now says once for each step and reason what its units wait for (unit_waits): the wait showed only in the next placement, so an engineer could not tell a full cluster from a job that waits for its rack. Reports no longer carry the number of the last order, which nobody read.

--- a/bench/graph_drive.py
+++ b/bench/graph_drive.py
@@ -159,7 +159,7 @@
         ended = tuple(self._ended[name])
         self._ended[name] = []
         report = Report(
-            self._facts[name], 0, looks=looks // 8, running=listed, ended=ended
+            self._facts[name], looks=looks // 8, running=listed, ended=ended
         )
         self._scheduler.absorb(name, report, self.now)
 
--- a/packages/agent/src/samphiredeal/agent/graphs/keeper.py
+++ b/packages/agent/src/samphiredeal/agent/graphs/keeper.py
@@ -75,7 +75,6 @@
         self._started = {}
         self._stops = {}
         self._refused = {}
-        self._orders_seen = 0
         self._stopped = False
         self._extending = None
 
@@ -102,7 +101,6 @@
         known = self._facts if self._look is not None else None
         return Report(
             known,
-            self._orders_seen,
             self._ended_life,
             self._looks,
             int((self._clock.seconds() - self._looked_at) * 1000),
@@ -158,7 +156,6 @@
 
     def obey(self, orders):
         """Take in `Orders` of the newest scheduler."""
-        self._orders_seen = max(self._orders_seen, orders.number)
         for run in orders.refusals_seen:
             self._refused.pop(run, None)
         if self._facts is None or orders.life != self._facts.life:
--- a/packages/model/src/samphiredeal/model/runs.py
+++ b/packages/model/src/samphiredeal/model/runs.py
@@ -99,13 +99,11 @@
 
     `worker` is None while none is known or it does not answer; `ended_life`
     names one that surely runs nothing any more. `pending` are orders whose
-    effect is not known yet, `orders_seen` is the number of the last order
-    message that this life of the agent has taken in. `looks` counts the times
-    the worker was looked at; the lists are `look_age_ms` old.
+    effect is not known yet. `looks` counts the times the worker was looked at;
+    the lists are `look_age_ms` old.
     """
 
     worker: WorkerFacts | None
-    orders_seen: int
     ended_life: str = ""
     looks: int = 0
     look_age_ms: int = 0
--- a/packages/policy/src/samphiredeal/policy/graphs/fitting.py
+++ b/packages/policy/src/samphiredeal/policy/graphs/fitting.py
@@ -3,7 +3,9 @@
 Places are ``{worker name: member count}``.
 """
 
-from samphiredeal.model.shape import Shape
+from typing import NamedTuple
+
+from samphiredeal.model.shape import NOTHING, Shape
 from samphiredeal.policy.graphs import health
 
 # What a sign of sickness costs, in run times: enough to prefer any other place.
@@ -86,6 +88,11 @@
     return [group for group in groups if could_hold(unit, group)]
 
 
+def is_choosy(unit):
+    """Return whether there are places on which the unit takes longer."""
+    return bool(unit.spec.data_rack) or _wants_one_rack(unit)
+
+
 def _wants_one_rack(unit):
     return unit.spec.gang and unit.spec.one_rack and unit.count > 1
 
@@ -106,6 +113,21 @@
     return best and best[1]
 
 
+class Room(NamedTuple):
+    """The room of some workers: in use, and all of it."""
+
+    used: Shape
+    whole: Shape
+
+
+def room_of(workers):
+    """Return the `Room` of some workers."""
+    used, whole = NOTHING, NOTHING
+    for worker in workers:
+        used, whole = used.plus(worker.used), whole.plus(worker.capacity)
+    return Room(used, whole)
+
+
 def by_rack(workers):
     """Return workers in groups by availability zone and rack."""
     groups = {}
--- a/packages/policy/src/samphiredeal/policy/graphs/headroom.py
+++ b/packages/policy/src/samphiredeal/policy/graphs/headroom.py
@@ -33,8 +33,3 @@
         }
         largest = max((share for _at, share in self._asked.values()), default=0.0)
         return min(_UNITS * largest, SHARE_MAX)
-
-
-def free_share(used, total):
-    """Return the free share of the resource that is shortest."""
-    return 1.0 - used.dominant_share(total)
--- a/packages/policy/src/samphiredeal/policy/graphs/health.py
+++ b/packages/policy/src/samphiredeal/policy/graphs/health.py
@@ -114,6 +114,17 @@
     return still_s > max(STALL_MIN_S, expected_s)
 
 
+def speeds_of(unit):
+    """Return the known (speed, worker) of all runs of a unit's step, in order."""
+    return sorted(
+        (placement.speed, placement.worker)
+        for sibling in unit.job.units.values()
+        if sibling.step == unit.step and sibling.occurrence == unit.occurrence
+        for placement in sibling.placements.values()
+        if placement.speed is not None
+    )
+
+
 def crawls(placement, speeds):
     """Return whether a run is far slower than its siblings on other workers.
 
--- a/packages/policy/src/samphiredeal/policy/graphs/scheduler.py
+++ b/packages/policy/src/samphiredeal/policy/graphs/scheduler.py
@@ -7,10 +7,16 @@
 from typing import NamedTuple
 
 from samphiredeal.model.runs import StartOrder
-from samphiredeal.model.shape import NOTHING
-from samphiredeal.policy.graphs import fitting, health, ordering, reclaim, records
+from samphiredeal.policy.graphs import (
+    fitting,
+    health,
+    ordering,
+    reclaim,
+    records,
+    waiting,
+)
 from samphiredeal.policy.graphs import reports as reporting
-from samphiredeal.policy.graphs.headroom import Headroom, free_share
+from samphiredeal.policy.graphs.headroom import Headroom
 from samphiredeal.policy.graphs.state import (
     CANCELLED,
     LISTED,
@@ -21,14 +27,6 @@
 )
 from samphiredeal.policy.graphs.tickets import Tickets
 
-# Work that its account's guarantee pays for must begin within 2.7 s, stops
-# included: it waits this long for room on one rack while others are free.
-_NEAR_WAIT_COVERED_S = 0.8
-# With so little of the workers in use and room for this many of a unit, nothing
-# may stand still for 3 s: it waits half of that for the place that suits it.
-_NEAR_WAIT_IDLE_S = 1.5
-_IDLE_SHARE = 0.5
-_IDLE_ROOM_FACTOR = 2
 # A gang whose members are not all listed this share of the time after which they
 # give up on each other is stopped and started anew.
 _GANG_START_SHARE = 0.67
@@ -36,9 +34,6 @@
 _LINGER_S = 1.0
 # A stop whose effect has not shown is ordered again after this.
 _STOP_AGAIN_S = 0.5
-# Work keeps room free for others only while it can start this share of its
-# estimate later and still end in time: estimates are off by up to a half.
-_YIELD_SLACK_SHARE = 0.3
 # Runs this close to their end are not moved aside.
 _NEARLY_DONE_PERCENT = 90
 # A step that is wider than this part of the room is expected to run in waves.
@@ -179,15 +174,15 @@
                 if not job.units:
                     job.settle(now)
         self._stop_what_should_not_run(now)
-        waiting = self._waiting_units(now)
         covered = self._covered_jobs()
         clock = ordering.Clock(wall_ms, self._share_function())
-        waiting.sort(
-            key=lambda unit: ordering.rank(unit, unit.job.id in covered, clock)
+        units = sorted(
+            self._waiting_units(now),
+            key=lambda unit: ordering.rank(unit, unit.job.id in covered, clock),
         )
         self._drop_dead_claims()
         blocked = set()
-        for unit in waiting:
+        for unit in units:
             alike = (unit.job.id, unit.step, tuple(unit.failed_on))
             if alike in blocked and not unit.job.urgent and not unit.claim:
                 continue
@@ -259,7 +254,7 @@
             return False
         step = (unit.job.id, unit.occurrence, unit.step)
         if step not in self._step_speeds:
-            self._step_speeds[step] = _speeds_of(unit)
+            self._step_speeds[step] = health.speeds_of(unit)
         return health.crawls(placement, self._step_speeds[step])
 
     def _has_other_place(self, unit, worker):
@@ -393,11 +388,17 @@
         def room_of(worker):
             return worker.room_for(unit)
 
-        far_allowed = self._may_go_far(unit, workers, covered, now)
+        far_allowed = waiting.may_go_far(unit, workers, covered, self._far_factor, now)
         places = fitting.find(unit, workers, room_of, self._far_factor, far_allowed)
-        if places is not None and self._yields(unit, workers, now, clock):
+        if places is None:
+            choosy = fitting.is_choosy(unit) and not far_allowed
+            self._note_wait(unit, waiting.FOR_NEAR_ROOM if choosy else waiting.FOR_ROOM)
+        elif waiting.yields(unit, workers, self._headroom.share(now), now, clock):
+            self._note_wait(unit, waiting.FOR_URGENT_WORK)
             return False
-        if places is not None:
+        else:
+            if unit.job.urgent:
+                self._headroom.note(unit, fitting.room_of(workers).whole, now)
             self._start(unit, places, now)
             return True
         if unit.job.urgent and not unit.claim:
@@ -406,25 +407,6 @@
                 self._reclaim(unit, workers, covered, far_allowed, now)
         return False
 
-    def _yields(self, unit, workers, now, clock):
-        """Return whether a unit leaves free room to urgent work to come."""
-        used, total = _room_of(workers)
-        if unit.job.urgent:
-            self._headroom.note(unit, total, now)
-            return False
-        if unit.spec.lasting or unit.claim:
-            return False
-        slack_s = ordering.latest_start_s(unit, clock)
-        if slack_s < _YIELD_SLACK_SHARE * unit.estimate_s:
-            return False
-        left = free_share(used.plus(unit.room.times(unit.count)), total)
-        if left >= self._headroom.share(now):
-            return False
-        # A job of which nothing runs must not wait for long on an idle cluster.
-        waited_s = now - unit.ready_since
-        waits_whole = not unit.job.holds_room and waited_s > _NEAR_WAIT_IDLE_S
-        return not (waits_whole and _are_idle(workers, unit))
-
     def _ticketed(self, unit, workers):
         """Return the workers with a ticket; ask about the others if needed."""
         ready = [one for one in workers if self.tickets.allow(unit, one)]
@@ -434,23 +416,13 @@
             self._question = self.tickets.question(unit, by_room)
         return ready
 
-    def _may_go_far(self, unit, workers, covered, now):
-        """Return whether a unit may be given places where it takes longer.
-
-        Far from its data, or split over racks, it runs `far_factor` times as
-        long and keeps its room from others for that time, so it first waits for
-        as long as it would lose.
-        """
-        groups = fitting.near_groups(unit, workers)
-        if unit.claim:
-            names = [{one.name for one in group} for group in groups]
-            return not any(unit.claim.keys() <= group for group in names)
-        longer_s = (self._far_factor - 1) * unit.estimate_s
-        limit_s = _NEAR_WAIT_COVERED_S if covered else longer_s
-        waited_s = now - unit.ready_since
-        if not groups or waited_s > limit_s:
-            return True
-        return waited_s > _NEAR_WAIT_IDLE_S and _are_idle(workers, unit)
+    def _note_wait(self, unit, reason):
+        """Log what units of a step wait for, each reason once."""
+        known = unit.job.waits.setdefault((unit.occurrence, unit.step), set())
+        if reason not in known:
+            known.add(reason)
+            fields = {"job": unit.job.id, "unit": unit.key, "reason": reason}
+            self._notes.append(Note("unit_waits", fields))
 
     def _start(self, unit, places, now):
         unit.run += 1
@@ -500,35 +472,6 @@
             self._stop(victim, f"its room is reclaimed for job {unit.job.id}")
 
 
-def _are_idle(workers, unit):
-    """Return whether workers have room for the unit and as much again to spare."""
-    copies = sum(fitting.copies_in(unit, one, one.free) for one in workers)
-    if copies < _IDLE_ROOM_FACTOR * unit.count:
-        return False
-    used, total = _room_of(workers)
-    shares = [part / whole for part, whole in zip(used, total, strict=True) if whole]
-    return min(shares, default=0.0) < _IDLE_SHARE
-
-
-def _room_of(workers):
-    """Return (room in use, all room) of some workers."""
-    used, total = NOTHING, NOTHING
-    for worker in workers:
-        used, total = used.plus(worker.used), total.plus(worker.capacity)
-    return used, total
-
-
-def _speeds_of(unit):
-    """Return the known (speed, worker) of all runs of a unit's step, in order."""
-    return sorted(
-        (placement.speed, placement.worker)
-        for sibling in unit.job.units.values()
-        if sibling.step == unit.step and sibling.occurrence == unit.occurrence
-        for placement in sibling.placements.values()
-        if placement.speed is not None
-    )
-
-
 def _members_under_way(unit):
     """Return how many members of a unit's step run or have room made for them."""
     return sum(
--- a/packages/policy/src/samphiredeal/policy/graphs/state.py
+++ b/packages/policy/src/samphiredeal/policy/graphs/state.py
@@ -164,6 +164,8 @@
         self.next_occurrence = 0
         self.dirty = False
         self.ended_at = None
+        # What units have waited for: {(occurrence, step): set of reasons}.
+        self.waits = {}
 
     @property
     def id(self):
@@ -237,6 +239,8 @@
             mine = [u for u in self.units.values() if u.occurrence == occurrence]
             if all(unit.done and not unit.placements for unit in mine):
                 self.finished_occurrences.add(occurrence)
+                for step in range(len(self.record.spec.steps)):
+                    self.waits.pop((occurrence, step), None)
                 for unit in mine:
                     del self.units[unit.key]
                 self.dirty = True
--- a/packages/policy/tests/test_graph_load.py
+++ b/packages/policy/tests/test_graph_load.py
@@ -3,6 +3,8 @@
 from graph_bench import Bench
 from graph_builders import make_facts, make_record, make_step
 
+from samphiredeal.policy.graphs.waiting import FOR_NEAR_ROOM, FOR_ROOM
+
 
 def make_racks(racks=2, per_rack=2):
     """Return workers of eight accelerators, each labelled by its place on its rack."""
@@ -92,3 +94,20 @@
     bench.add(make_record("small", [make_step(64, 1, estimate_ms=20_000)]))
     bench.step(0.1)
     assert len(bench.places("small")) == 64
+
+
+def test_each_reason_to_wait_is_logged_once_for_a_step():
+    bench = Bench(make_racks())
+    bench.add(make_record("fill", [make_step(4, 8)], priority=0))
+    bench.step()
+    bench.scheduler.take_notes()
+    bench.add(make_record("many", [make_step(30, 1)]))
+    bench.add(make_record("near", [make_step(1, 1, data_rack="r0")]))
+    for _ in range(5):
+        bench.step(0.1)
+    waits = [
+        (note.fields["job"], note.fields["reason"])
+        for note in bench.scheduler.take_notes()
+        if note.event == "unit_waits"
+    ]
+    assert sorted(waits) == [("many", FOR_ROOM), ("near", FOR_NEAR_ROOM)]
--- a/tests/graph_builders.py
+++ b/tests/graph_builders.py
@@ -40,7 +40,6 @@
 
 def make_report(facts, **fields):
     """Return a report of a worker that runs nothing unless told otherwise."""
-    fields.setdefault("orders_seen", 0)
     return Report(facts, **fields)
 
 
