--- a/bench/graph_load.py
+++ b/bench/graph_load.py
@@ -98,20 +98,18 @@
     ),
 )  # fmt: skip
 
+_DRAFT, _HOLD, _CHECK = _HANBIT_KINDS
 _TIDEWATER_KINDS = (
-    JobKind(
-        "catalog-render", 0.344, 1, 3, 0.9, 1.0, 3.0, 17.0, 0.3, 6, 13, 67_000,
-        (1, 2, 4, 8, 8), 0.5, gang=True, tight=0.6, near=0.3, saves=0.45,
-        cancelled=0.05, waiting_at_start=5,
+    _DRAFT._replace(
+        name="catalog-render", rate_per_s=0.344, work_s=17.0, width=6, cores=13,
+        memory_mb=67_000,
     ),
-    JobKind(
-        "price-check", 0.797, 0, 4, 0.8, 0.25, 1.5, 5.0, 0.5, 5, 3.7, 15_000,
-        (1, 2, 4, 8, 8), 0.2, gang=True, tight=0.8,
+    _HOLD._replace(
+        name="price-check", rate_per_s=0.797, cores=3.7, memory_mb=15_000
     ),
-    JobKind(
-        "bin-count", 0.21, 2, 1, 0.3, 3.0, 3.0, 15.2, 0.3, 30, 2.8, 15_000,
-        (1,), 0.2, near=0.12, saves=0.45, cancelled=0.15, steps=1.3,
-        waiting_at_start=4,
+    _CHECK._replace(
+        name="bin-count", rate_per_s=0.21, work_s=15.2, width=30, cores=2.8,
+        memory_mb=15_000,
     ),
 )  # fmt: skip
 
