Look a run's step up once in the model; drop outcomes that nobody reads

The model parsed each task's name and looked its step up three times a step, wrote the cores of a task out twice, and kept first starts and shares in time that no caller used.

--- a/bench/graph_drive.py
+++ b/bench/graph_drive.py
@@ -31,14 +31,16 @@
 class _Run:
     """A run of a task on a worker; `left_s` is work at speed 1."""
 
-    def __init__(self, order, left_s, saved_s, saves, cores, began_at):
+    def __init__(self, order, name, step, left_s, saved_s, began_at):
         self.task = order.task
         self.run = order.run
         self.left_s = left_s
         self.total_s = left_s
         self.saved_s = saved_s
-        self.saves = saves
-        self.cores = cores
+        self.name = name
+        self.step = step
+        self.saves = step.checkpointing
+        self.cores = _cores(step)
         self.began_at = began_at
         self.slowdown = 1.0
         self.stop_at = None
@@ -52,12 +54,9 @@
     """What a day earned: shares of the worth owed, and core-seconds wasted."""
 
     earned: float
-    in_time: float
-    late: float
     by_kind: dict
     wasted_core_s: float
     waste_share: float
-    urgent_wait_max_s: float
 
     @property
     def worth(self):
@@ -78,9 +77,7 @@
         self._speeds = {}
         self._running = {}
         self._ended = {}
-        self._saved = {}
         self._finished = {}
-        self._first_start = {}
         self._numbers = {}
         self.now = 0.0
         self.wasted_core_s = 0.0
@@ -170,28 +167,22 @@
         work_s = drawn.work_s[(task.step, task.index)]
         saved_s = float(order.checkpoint or 0.0)
         left_s = max(0.05, work_s - saved_s) + (RESTORE_S if saved_s else 0.0)
-        cores = (
-            step.shape.cpu_milli / 1000 + ACCELERATOR_CORES * step.shape.accelerators
-        )
-        one = _Run(order, left_s, saved_s, step.checkpointing, cores, self.now)
+        one = _Run(order, task, step, left_s, saved_s, self.now)
         self._running[name][(order.task, order.run)] = one
-        self._first_start.setdefault(task.job, self.now)
 
     def _set_slowdowns(self):
         """Work far from its data, and gangs over several racks, take longer."""
         racks = {}
         for name, listed in self._running.items():
             for one in listed.values():
-                task = parse_task_name(one.task)
-                racks.setdefault((task.job, task.step, one.run), set()).add(
+                racks.setdefault((one.name.job, one.name.step, one.run), set()).add(
                     self._facts[name].labels[-1]
                 )
         for name, listed in self._running.items():
             for one in listed.values():
-                task = parse_task_name(one.task)
-                step = self._by_id[task.job].record.spec.steps[task.step]
+                step = one.step
                 rack = self._facts[name].labels[-1]
-                spread = len(racks[(task.job, task.step, one.run)]) > 1
+                spread = len(racks[(one.name.job, one.name.step, one.run)]) > 1
                 far = bool(step.data_rack) and step.data_rack != rack
                 split = step.gang and step.one_rack and spread
                 one.slowdown = FAR_FACTOR if far or split else 1.0
@@ -204,10 +195,9 @@
                     self._end(name, key, runs.STOPPED)
                     continue
                 one.left_s -= STEP_S * self._speeds[name] / one.slowdown
-                task = parse_task_name(one.task)
-                step = self._by_id[task.job].record.spec.steps[task.step]
-                if step.gang:
-                    group = done_gangs.setdefault((task.job, task.step), [])
+                if one.step.gang:
+                    gang = (one.name.job, one.name.step)
+                    group = done_gangs.setdefault(gang, [])
                     group.append((name, key, one.left_s <= 0))
                 elif one.left_s <= 0:
                     self._end(name, key, runs.DONE)
@@ -234,7 +224,7 @@
         )
 
     def _outcome(self):
-        owed, earned, in_time, late, by_kind = 0.0, 0.0, 0.0, 0.0, {}
+        owed, earned, by_kind = 0.0, 0.0, {}
         works = {}
         for job in self._jobs:
             works.setdefault(job.kind.name, []).append(_job_work(job))
@@ -249,21 +239,15 @@
             owed += share * job.kind.worth
             gain = share * self._credit(job)
             earned += gain
-            in_time += share * job.kind.worth * (gain == share * job.kind.worth)
-            late += gain * (0 < gain < share * job.kind.worth)
             got, of = by_kind.get(job.kind.name, (0.0, 0.0))
             by_kind[job.kind.name] = (got + gain, of + share * job.kind.worth)
-        waits = [
-            self._first_start.get(job.record.id, self.now) - job.at
-            for job in self._jobs
-            if job.kind.priority == 0
-        ]
         wasted = self._site.waste_price * self.wasted_core_s / owed
         return Outcome(
-            earned / owed, in_time / owed, late / owed,
+            earned / owed,
             {kind: got / of for kind, (got, of) in by_kind.items()},
-            self.wasted_core_s, wasted, max(waits, default=0.0),
-        )  # fmt: skip
+            self.wasted_core_s,
+            wasted,
+        )
 
     def _credit(self, job):
         ended_at = self._finished.get(job.record.id)
@@ -298,8 +282,11 @@
 def _job_work(job):
     total = 0.0
     for (number, _index), work_s in job.work_s.items():
-        shape = job.record.spec.steps[number].shape
-        total += work_s * (
-            shape.cpu_milli / 1000 + ACCELERATOR_CORES * shape.accelerators
-        )
+        total += work_s * _cores(job.record.spec.steps[number])
     return total
+
+
+def _cores(step):
+    """Return what a task of a step takes, in cores."""
+    shape = step.shape
+    return shape.cpu_milli / 1000 + ACCELERATOR_CORES * shape.accelerators
--- a/tests/graph_bench.py
+++ b/tests/graph_bench.py
@@ -17,7 +17,6 @@
         self.ends = {name: [] for name in workers}
         self.percent = {}
         self.looks = 0
-        self.frozen = set()
 
     def add(self, *records_):
         for record in records_:
