Log what the time of late and refused jobs is spent on

The incident's hypotheses on late jobs could not be told apart: a stall of 3 s between run_ended and the caller's "completed" left no line. progress_written, beat_unanswered and job_ended say it, and call_answered carries the caller's remaining time and the Retry-After it is given.

Tests: tests/test_incident_logs.py.

--- a/packages/entry/src/samphiredeal/entry/graphs/dispatcher.py
+++ b/packages/entry/src/samphiredeal/entry/graphs/dispatcher.py
@@ -38,6 +38,8 @@
 # A write without an answer is repeated after this; a store that is slowed
 # ninetyfold takes 0.5 s.
 _WRITE_S = 0.7
+# Writes that take longer, many times what a sound store takes, are logged.
+_SLOW_WRITE_S = 0.1
 # Nothing starts on a view of the operator's rows older than this: below the
 # 5 s in which a zone that is taken out must be left alone.
 _OPERATIONS_MAX_AGE_S = 3.0
@@ -61,6 +63,7 @@
         self._scheduler = GraphScheduler(host.far_factor, host.gang_start_s)
         self._sessions = Sessions(host, leadership, self)
         self._versions = {}
+        self._ends_logged = set()
         self._began_at = self._clock.seconds()
         self._round = None
         self._committing = False
@@ -104,6 +107,7 @@
         for job_id in [one for one in scheduler.jobs if one not in view.jobs]:
             scheduler.forget_job(job_id)
             self._versions.pop(job_id, None)
+            self._ends_logged.discard(job_id)
         for job_id in view.cancels:
             scheduler.cancel_job(job_id, now)
         for name, stored in view.workers.items():
@@ -220,9 +224,11 @@
             if job.active:
                 conditions.append(Condition(work.cancel_key(job.id), 0))
             puts.append(Put(key, records.encode(records.progress_of(job))))
+        began_at = self._clock.seconds()
         written = self._table.write(conditions, puts)
         answer = await within(self._clock, _WRITE_S, written)
         self._committing = False
+        self._log_write(jobs, answer, self._clock.seconds() - began_at)
         if self._ended:
             return
         if isinstance(answer, Committed):
@@ -231,12 +237,46 @@
             for placement in placements:
                 placement.committed = True
             self._sessions.ends_are_recorded(ends)
+            self._log_ended_jobs(jobs)
         else:
             for job in jobs:
                 job.dirty = True
             self._not_stored(answer)
         self.wake()
 
+    def _log_write(self, jobs, answer, took_s):
+        """Log a write of progress that was slow or did not apply."""
+        stored = isinstance(answer, Committed)
+        if stored and took_s < _SLOW_WRITE_S:
+            return
+        log_message(
+            message_type="progress_written",
+            epoch=self._leadership.epoch,
+            jobs=[job.id for job in jobs],
+            stored=stored,
+            reason=getattr(answer, "reason", ""),
+            took_s=round(took_s, 3),
+        )
+
+    def _log_ended_jobs(self, jobs):
+        """Log once for each ended job what its time was spent on."""
+        wall_ms = self._host.wall_ms()
+        for job in jobs:
+            if job.active or job.id in self._ends_logged:
+                continue
+            self._ends_logged.add(job.id)
+            log_message(
+                message_type="job_ended",
+                epoch=self._leadership.epoch,
+                job=job.id,
+                state=job.state,
+                reason=job.reason,
+                age_s=round((wall_ms - job.record.accepted_ms) / 1000, 3),
+                longest_wait_s=round(job.longest_wait_s, 3),
+                restarts=job.restarts,
+                storing_s=round(self._clock.seconds() - job.ended_at, 3),
+            )
+
     def _not_stored(self, answer):
         if not isinstance(answer, Conflict):
             self._store_ready_at = self._clock.seconds() + _STORE_PAUSE_S
--- a/packages/entry/src/samphiredeal/entry/graphs/intake.py
+++ b/packages/entry/src/samphiredeal/entry/graphs/intake.py
@@ -252,6 +252,8 @@
             answer=answer.kind,
             state=answer.state,
             reason=answer.reason[:200],
+            retry_after_s=answer.retry_after_s,
+            patience_s=round(call.wait_s, 3),
             config_version=self._operations.version,
             config_age_s=round(self._config_age_s(), 3),
             took_ms=round((self._clock.seconds() - began_at) * 1000, 1),
--- a/packages/entry/src/samphiredeal/entry/graphs/leadership.py
+++ b/packages/entry/src/samphiredeal/entry/graphs/leadership.py
@@ -130,6 +130,13 @@
             self.depose("its beat was refused by the store")
         elif isinstance(answer, Committed):
             self._renewed_at = self._beat_at
+        else:
+            log_message(
+                message_type="beat_unanswered",
+                epoch=self._epoch,
+                beat=self._beats,
+                reason=answer.reason,
+            )
 
     def _put_beat(self, beat, condition):
         put = Put(work.BEAT_KEY, msgspec.json.encode(beat))
--- a/packages/policy/src/samphiredeal/policy/graphs/scheduler.py
+++ b/packages/policy/src/samphiredeal/policy/graphs/scheduler.py
@@ -434,6 +434,9 @@
             unit.placements[index] = placement
             worker.add(placement)
         unit.job.dirty = True
+        waited_s = now - unit.ready_since
+        unit.job.longest_wait_s = max(unit.job.longest_wait_s, waited_s)
+        unit.job.restarts += unit.run > 1
         self._notes.append(
             Note(
                 "unit_placed",
@@ -442,7 +445,7 @@
                     "unit": unit.key,
                     "run": unit.run,
                     "places": places,
-                    "waited_s": round(now - unit.ready_since, 3),
+                    "waited_s": round(waited_s, 3),
                     "failures": unit.failures,
                     "checkpoint": unit.checkpoint,
                 },
--- a/packages/policy/src/samphiredeal/policy/graphs/state.py
+++ b/packages/policy/src/samphiredeal/policy/graphs/state.py
@@ -166,6 +166,9 @@
         self.ended_at = None
         # What units have waited for: {(occurrence, step): set of reasons}.
         self.waits = {}
+        # For the log only, counted anew in each term of a scheduler.
+        self.longest_wait_s = 0.0
+        self.restarts = 0
 
     @property
     def id(self):
--- /dev/null
+++ b/tests/test_incident_logs.py
@@ -0,0 +1,53 @@
+"""The log tells what the time of a late or refused job was spent on."""
+
+import pytest
+from eliot import add_destinations, remove_destination
+from graph_world import make_graph_world
+
+from samphiredeal.model import answers
+
+STEP = {"count": 1, "cpu": 1000, "mem-mb": 1000, "gpu": 1, "estimated-ms": 1000}
+
+
+@pytest.fixture
+def logged():
+    """Return a function that gives the messages of one type so far."""
+    messages = []
+    add_destinations(messages.append)
+    yield lambda kind: [one for one in messages if one.get("message_type") == kind]
+    remove_destination(messages.append)
+
+
+def test_ended_job_logs_its_age_waits_and_storing(logged):
+    world = make_graph_world()
+    world.submit("e0", "a1", [STEP])
+    world.run(2.0)
+    (line,) = logged("job_ended")
+    assert line["job"] == "a1" and line["state"] == "completed"
+    assert line["age_s"] >= 1.0 and line["restarts"] == 0
+    assert 0.0 <= line["longest_wait_s"] < 0.5 and line["storing_s"] < 0.5
+
+
+def test_write_that_is_not_answered_logs_its_reason_and_time(logged):
+    world = make_graph_world()
+    world.nodes[world.scheduler()].faults.lose_answers = 3
+    world.submit("e1" if world.scheduler() != "e1" else "e2", "a1", [STEP])
+    world.run(5.0)
+    line = logged("progress_written")[0]
+    assert line["jobs"] == ["a1"] and not line["stored"] and line["reason"]
+
+
+def test_unanswered_beat_is_logged(logged):
+    world = make_graph_world()
+    world.cut_store(world.scheduler())
+    world.run(1.5)
+    assert logged("beat_unanswered")[0]["reason"]
+
+
+def test_refused_call_logs_the_callers_patience_and_return(logged):
+    world = make_graph_world()
+    world.cut_store("e0")
+    world.run(2.0)
+    assert world.submit("e0", "a1", [STEP]).kind == answers.NOT_DONE
+    line = logged("call_answered")[-1]
+    assert line["patience_s"] == 3.0 and line["retry_after_s"] >= 1.0
