Notice the return of a silent store within 0.2 s

Cause: a follower that fails asks again only once its last call has timed out, and a call that was sent into a silent store is not answered after its return either. So each entry refused for up to 0.8 s more, and beats, progress and ends waited for writes of their own that had been sent into the silence (up to 1.4 s). Class of fault: waiting for an answer that cannot come any more. The same in the scheduler's beat and its writes of progress, mended with it; agents ask the store every 0.8 s only while no scheduler answers them, and were left.

A failing follower sends a probe every 0.2 s and takes the first answer; while the store is silent nothing is written, so that the first write goes to a live store.

--- a/packages/entry/src/samphiredeal/entry/graphs/dispatcher.py
+++ b/packages/entry/src/samphiredeal/entry/graphs/dispatcher.py
@@ -9,6 +9,7 @@
 from twisted.internet.task import deferLater
 
 from samphiredeal.entry.graphs import work
+from samphiredeal.entry.graphs.follower import STORE_SILENT_S
 from samphiredeal.entry.graphs.sessions import Sessions
 from samphiredeal.platform.table import (
     Committed,
@@ -192,6 +193,9 @@
         now = self._clock.seconds()
         if self._committing or now < self._store_ready_at:
             return
+        if self._host.store_age_s() > STORE_SILENT_S:
+            # A write that is sent now would be waited for beyond the store's return.
+            return
         if now - self._checkpoints_at > _CHECKPOINTS_EVERY_S:
             self._checkpoints_at = now
             self._scheduler.keep_checkpoints()
--- a/packages/entry/src/samphiredeal/entry/graphs/follower.py
+++ b/packages/entry/src/samphiredeal/entry/graphs/follower.py
@@ -5,14 +5,22 @@
 """
 
 from eliot import log_message
+from twisted.internet.defer import Deferred
 from twisted.internet.task import deferLater
 
-from samphiredeal.platform.table import Changes, HistoryLost
+from samphiredeal.platform.table import Changes, HistoryLost, Unavailable
+
+# Without a sign of the store for this long, it is taken as silent: a call for
+# changes waits for 0.5 s and is given up 0.8 s later.
+STORE_SILENT_S = 1.7
 
 # Pauses after a call that failed; the first is short, since one lost answer
 # or a dropped connection is the usual cause.
 _RETRY_FIRST_S = 0.05
 _RETRY_MOST_S = 0.2
+# While the store is silent it is asked again this often: what was sent before its
+# return is not answered after it either.
+_PROBE_EVERY_S = 0.2
 
 
 class Follower:
@@ -75,12 +83,10 @@
         """Make one call; return whether it was answered."""
         sent_at = self._clock.seconds()
         whole = self._version is None
-        if whole:
-            answer = await self._table.snapshot()
+        if self._failing:
+            sent_at, answer = await self._probe()
         else:
-            # After a failure the question is whether the store is back at all.
-            wait_s = 0.0 if self._failing else self._wait_s
-            answer = await self._table.changes(self._version, wait_s)
+            answer = await self._ask(self._wait_s)
         if isinstance(answer, HistoryLost):
             log_message(
                 message_type="history_lost",
@@ -102,6 +108,36 @@
         self._confirmed_at = sent_at
         return True
 
+    def _ask(self, wait_s):
+        """Return a Deferred of what has changed, or of all rows if none are known."""
+        if self._version is None:
+            return self._table.snapshot()
+        return self._table.changes(self._version, wait_s)
+
+    def _probe(self):
+        """Return a Deferred of (time sent, answer) of the first call answered.
+
+        A call that fails leaves the others to be answered.
+        """
+        first = Deferred()
+
+        def send():
+            if first.called:
+                return
+            sent_at = self._clock.seconds()
+            if not self._running:
+                first.callback((sent_at, Unavailable("stopped")))
+                return
+            self._clock.callLater(_PROBE_EVERY_S, send)
+            self._ask(0.0).addCallback(take, sent_at)
+
+        def take(answer, sent_at):
+            if not first.called and not isinstance(answer, Unavailable):
+                first.callback((sent_at, answer))
+
+        send()
+        return first
+
     def _note(self, failing, reason=""):
         if failing != self._failing:
             self._failing = failing
--- a/packages/entry/src/samphiredeal/entry/graphs/intake.py
+++ b/packages/entry/src/samphiredeal/entry/graphs/intake.py
@@ -8,6 +8,7 @@
 from twisted.internet.task import deferLater
 
 from samphiredeal.entry.graphs import work
+from samphiredeal.entry.graphs.follower import STORE_SILENT_S
 from samphiredeal.model import answers
 from samphiredeal.model.answers import JobAnswer
 from samphiredeal.model.graph import JobRecord
@@ -34,8 +35,6 @@
 _SLOW_WRITE_S = 1.8
 # One try: a write whose answer is lost is known by its condition when repeated.
 _TRY_S = 0.5
-# Without a sign of the store for this long, nothing is written at all.
-STORE_SILENT_S = 1.7
 # A call for changes that is answered late waits for 0.5 s and as long again.
 _HEARD_WITHIN_S = 1.0
 # Between tries of one write: a passing refusal is over by then.
@@ -247,7 +246,7 @@
         """
         age_s = self._store_age_s()
         since_s = self._clock.seconds() - self._unanswered_at
-        return age_s > STORE_SILENT_S or since_s < age_s
+        return age_s > STORE_SILENT_S or since_s < age_s > _HEARD_WITHIN_S
 
     def _forget_settled(self):
         """Drop the writes that can no longer be applied late."""
--- a/packages/entry/src/samphiredeal/entry/graphs/leadership.py
+++ b/packages/entry/src/samphiredeal/entry/graphs/leadership.py
@@ -9,6 +9,7 @@
 from eliot import log_message
 
 from samphiredeal.entry.graphs import work
+from samphiredeal.entry.graphs.follower import STORE_SILENT_S
 from samphiredeal.platform.table import (
     Committed,
     Condition,
@@ -117,7 +118,9 @@
         if self._view.epoch.value.number > self._epoch:
             self.depose("a newer epoch is stored")
             return
-        if self._clock.seconds() >= self._beat_due_at:
+        # A beat that is sent to a silent store would be waited for beyond its return.
+        silent = self._rows.age_s > STORE_SILENT_S
+        if self._clock.seconds() >= self._beat_due_at and not silent:
             await self._beat()
 
     def next_beat(self):
--- a/packages/entry/src/samphiredeal/entry/graphs/node.py
+++ b/packages/entry/src/samphiredeal/entry/graphs/node.py
@@ -46,6 +46,7 @@
     view: object
     operations: object
     operations_age_s: object
+    store_age_s: object
     connect: object
     wall_ms: object
     far_factor: float
@@ -114,6 +115,7 @@
             self._view,
             self._operations,
             lambda: self._operator_rows.age_s,
+            lambda: self._work_rows.age_s,
             connect,
             self._time_of_day.ms,
             bounds.far_factor,
--- a/packages/entry/tests/test_follower.py
+++ b/packages/entry/tests/test_follower.py
@@ -2,6 +2,7 @@
 
 import random
 
+import pytest
 from graph_world import make_graph_world
 from twisted.internet.defer import ensureDeferred
 from twisted.internet.task import Clock
@@ -76,6 +77,27 @@
     assert follower.age_s < 1.1
 
 
+# inc-short, trouble-3: callers were refused for 0.77 s after the store's return.
+@pytest.mark.parametrize("outage_ms", range(3000, 4000, 90))
+def test_return_of_a_silent_store_is_known_at_once(outage_ms):
+    clock, _table, faults, _rows, follower = make_follower()
+    run(clock, 2.0)
+    faults.silent = True
+    run(clock, outage_ms / 1000)
+    faults.silent = False
+    run(clock, 0.3)
+    assert follower.age_s < 0.3
+
+
+def test_probes_of_a_silent_store_are_few():
+    clock, _table, faults, _rows, _follower = make_follower()
+    run(clock, 2.0)
+    faults.silent = True
+    before = faults.reads
+    run(clock, 10.0)
+    assert faults.reads - before <= 10.0 / 0.2 + 2
+
+
 def test_unreadable_rows_leave_the_node_up():
     world = make_graph_world()
     bad = [Put(f"{kind}/x", b"\xff") for kind in ("job", "progress", "worker")]
--- a/packages/platform/src/samphiredeal/platform/client.py
+++ b/packages/platform/src/samphiredeal/platform/client.py
@@ -24,6 +24,8 @@
 from zope.interface import implementer
 
 from samphiredeal.platform.table import (
+    CALL_TIMEOUT_S,
+    CHANGES_TIMEOUT_S,
     NO_OBJECT,
     STORED,
     Changes,
@@ -34,10 +36,6 @@
     Unavailable,
 )
 
-# A store that is slowed ninetyfold answers in 0.5 s; past this it is silent.
-CALL_TIMEOUT_S = 1.5
-# The same beyond the time for which a call for changes may wait at the store.
-_CHANGES_TIMEOUT_S = 0.8
 # One process may take a part of the store's rates at most, whatever goes wrong.
 MAX_IN_FLIGHT = 64
 MAX_CALLS_PER_S = 400
@@ -194,7 +192,7 @@
     async def _snapshot(self):
         rows, start, version, store_ms = [], "", None, 0
         while True:
-            answer = await self._page(start, "", _PAGE_ROWS, _CHANGES_TIMEOUT_S)
+            answer = await self._page(start, "", _PAGE_ROWS, CHANGES_TIMEOUT_S)
             if isinstance(answer, Unavailable):
                 return answer
             page = _rows(answer)
@@ -212,7 +210,7 @@
             f"&wait-ms={int(wait_s * 1000)}"
         )
         answer = await self._platform.call(
-            b"GET", path.encode(), timeout_s=wait_s + _CHANGES_TIMEOUT_S
+            b"GET", path.encode(), timeout_s=wait_s + CHANGES_TIMEOUT_S
         )
         body = _body(answer, (200, 410))
         if isinstance(body, Unavailable):
--- a/packages/platform/src/samphiredeal/platform/memory.py
+++ b/packages/platform/src/samphiredeal/platform/memory.py
@@ -9,6 +9,8 @@
 from twisted.internet.defer import Deferred, succeed
 
 from samphiredeal.platform.table import (
+    CALL_TIMEOUT_S,
+    CHANGES_TIMEOUT_S,
     NO_OBJECT,
     STORED,
     Changes,
@@ -26,6 +28,8 @@
 class Faults:
     """What goes wrong: down, slow (seconds an answer) or lost answers (a count).
 
+    A `silent` store does nothing and answers nothing that is sent meanwhile.
+
     `write_delay_s` holds up the answers to writes only; they apply at once.
     `transaction_s` is how long the store takes for a write of this caller: it
     makes one after another and refuses more than `QUEUE_LIMIT_S` of them.
@@ -33,6 +37,7 @@
 
     def __init__(self):
         self.down = False
+        self.silent = False
         self.delay_s = 0.0
         self.write_delay_s = 0.0
         self.transaction_s = 0.0
@@ -121,6 +126,8 @@
     def changes(self, after, wait_s):
         """Return a Deferred of the rows changed after a version; may wait."""
         self.faults.reads += 1
+        if self.faults.silent:
+            return self._time_out(wait_s + CHANGES_TIMEOUT_S)
         if self.faults.down:
             return self._answer(lambda: None)
         answered = Deferred()
@@ -155,6 +162,8 @@
     def write(self, conditions, puts, deletes=()):
         """Return a Deferred of the answer; see `samphiredeal.platform.table`."""
         self.faults.writes += 1
+        if self.faults.silent:
+            return self._time_out(CALL_TIMEOUT_S)
         if self.faults.down:
             return self._answer(lambda: None)
         if self.faults.transaction_s:
@@ -214,7 +223,15 @@
             page.append(self._records.rows[key])
         return page
 
+    def _time_out(self, after_s):
+        unanswered = Deferred()
+        reason = Unavailable("the service is silent")
+        self._clock.callLater(after_s, unanswered.callback, reason)
+        return unanswered
+
     def _answer(self, compute):
+        if self.faults.silent:
+            return self._time_out(CALL_TIMEOUT_S)
         if self.faults.down:
             return self._deliver(Unavailable("the service is down", not_applied=True))
         return self._deliver(compute())
--- a/packages/platform/src/samphiredeal/platform/table.py
+++ b/packages/platform/src/samphiredeal/platform/table.py
@@ -96,6 +96,10 @@
 STORED = _Marker("stored")
 NO_OBJECT = _Marker("no-object")
 
+# A store that is slowed ninetyfold answers in 0.5 s; past this it is silent.
+CALL_TIMEOUT_S = 1.5
+# The same beyond the time for which a call for changes may wait at the store.
+CHANGES_TIMEOUT_S = 0.8
 _SETTLE_PAUSE_S = 0.2
 
 
