Tell callers the state that a job has as they ask

Cause: a state is told from the stored rows, and an end takes 10 to 80 ms from the worker's list through the agent and the scheduler into the store and back.

A call for the state of a job that runs waits up to 0.25 s for its end, or as long as the caller has time. Telling an end before it is stored was ruled out: a worker lost in that moment would have the task run again after it was shown as completed.

--- a/packages/entry/src/samphiredeal/entry/graphs/intake.py
+++ b/packages/entry/src/samphiredeal/entry/graphs/intake.py
@@ -39,6 +39,9 @@
 _HEARD_WITHIN_S = 1.0
 # Between tries of one write: a passing refusal is over by then.
 _RETRY_PAUSE_S = 0.15
+# A running job's state is told once an end that a worker lists as the caller asks
+# would have been stored; callers often ask just then, and would ask again at once.
+_END_STORED_S = 0.25
 # Time kept for the way of the answer back to the caller.
 _ANSWER_SLACK_S = 0.15
 # For this long a write without an answer may still be applied: orders that the
@@ -120,7 +123,7 @@
             return await self._submit(call, queue, job_id)
         if call.verb == answers.CANCEL:
             return await self._cancel(call, job_id)
-        return await self._look(job_id)
+        return await self._look(call, job_id)
 
     async def _submit(self, call, queue, job_id):
         if job_id in self._view.jobs:
@@ -167,10 +170,13 @@
             return JobAnswer(answers.CANCELLED)
         return self._store_refusal(answer)
 
-    async def _look(self, job_id):
+    async def _look(self, call, job_id):
         known = await self._known(job_id)
         if known is not True:
             return known
+        if self._view.is_running(job_id):
+            wait_s = min(max(0.0, call.wait_s - _ANSWER_SLACK_S), _END_STORED_S)
+            await self._view.until_ended(job_id, wait_s)
         state = self._view.state_of(job_id) or "queued"
         return JobAnswer(answers.STATE, state=state)
 
--- a/packages/entry/src/samphiredeal/entry/graphs/work.py
+++ b/packages/entry/src/samphiredeal/entry/graphs/work.py
@@ -10,10 +10,11 @@
 from typing import NamedTuple
 
 from eliot import log_message
+from twisted.internet.defer import Deferred
 
 from samphiredeal.model.graph import JobRecord
 from samphiredeal.policy.graphs import records
-from samphiredeal.policy.graphs.state import CANCELLED, FINAL_STATES, QUEUED
+from samphiredeal.policy.graphs.state import ACTIVE, CANCELLED, FINAL_STATES, QUEUED
 
 EPOCH_KEY = "epoch"
 BEAT_KEY = "beat"
@@ -106,6 +107,7 @@
         self.beat = Versioned(BeatRecord(0, 0), 0)
         self.beat_seen_at = clock.seconds()
         self.beats_seen = 0
+        self._end_watchers = {}
         self._maps = {
             _JOB: self.jobs,
             _PROGRESS: self.progress,
@@ -156,6 +158,9 @@
         kind = _KINDS.get(prefix + "/")
         value = records.decode(row.value, kind) if kind else None
         entries[name] = Versioned(value, row.version)
+        if name in self._end_watchers and self.state_of(name) in FINAL_STATES:
+            for watcher in self._end_watchers.pop(name):
+                watcher.callback(None)
 
     def _take_newer(self, attribute, kind, row):
         if row.version > getattr(self, attribute).version:
@@ -172,6 +177,26 @@
             return CANCELLED
         return state
 
+    def is_running(self, job_id):
+        """Return whether a job has begun and not ended, as far as is known."""
+        return self.state_of(job_id) == ACTIVE
+
+    def until_ended(self, job_id, seconds):
+        """Return a Deferred that fires when a job ends, or after a time."""
+        watcher = Deferred()
+        watchers = self._end_watchers.setdefault(job_id, [])
+        watchers.append(watcher)
+
+        def give_up():
+            watchers.remove(watcher)
+            if not watchers:
+                self._end_watchers.pop(job_id, None)
+            watcher.callback(None)
+
+        timer = self._clock.callLater(seconds, give_up)
+        watcher.addCallback(lambda _: timer.active() and timer.cancel())
+        return watcher
+
     def waiting(self, queue):
         """Return how many accepted jobs of a queue have not begun."""
         return sum(
