Ask another entry when the store turns this one away

Cause: each entry answers from its own way to the store only. Class of fault: a partial outage passed on to callers whom the rest of the system could serve.

Entries announce themselves by a row, entry/NAME. One that has not heard the store for 1 s, or whose write was refused, passes the call on, to the scheduler's entry first, and falls back on its own answer. A call is passed on once; an entry that may not hear the store itself says so at once. Without a reply the caller is told "unsettled", never "not done". Half of the caller's time is the limit.

Found on the way, each with a test: an unexpected error left the caller without any answer (now 504 and call_failed); an address that was gone held callers.

Retried calls to entries that are gone stay: rows of entries are not deleted.

--- a/packages/cli/src/samphiredeal/cli/platform_roles.py
+++ b/packages/cli/src/samphiredeal/cli/platform_roles.py
@@ -8,7 +8,6 @@
 import msgspec
 from eliot import add_destinations, log_message, write_traceback
 from twisted.internet import reactor
-from twisted.internet.defer import ensureDeferred
 from twisted.internet.task import deferLater
 
 from samphiredeal.cli import runtime
@@ -34,6 +33,7 @@
     entry = GraphEntry(
         clock,
         settings.node,
+        f"{settings.ip}:{settings.link_port}",
         HttpTable(store),
         HttpTable(store, OPERATOR_TABLE),
         lambda address: link.connect(reactor, address),
@@ -45,6 +45,7 @@
     metrics = _count_logs("entry", settings)
 
     def begin():
+        _listen_for_links(settings, entry.accept)
         _listen(
             settings.callers_address,
             service_http.CallerResource(entry.intake.answer, lambda: entry.stopping),
@@ -101,9 +102,7 @@
         )
 
     def begin():
-        ensureDeferred(
-            link.listen(reactor, settings.ip, settings.link_port, agent.accept)
-        ).addErrback(_fail)
+        _listen_for_links(settings, agent.accept)
         _listen(
             settings.worker_calls_address,
             service_http.HeartbeatResource(on_heartbeat, on_farewell, on_unreadable),
@@ -148,6 +147,11 @@
     reactor.listenTCP(int(port), site, interface=host)
 
 
+def _listen_for_links(settings, accept):
+    listening = link.listen(reactor, settings.ip, settings.link_port, accept)
+    listening.addErrback(_fail)
+
+
 def _listen_for_metrics(settings, metrics):
     resource = service_http.TextResource(metrics.render)
     _listen(f"{settings.ip}:{settings.metrics_port}", resource)
--- a/packages/entry/src/samphiredeal/entry/graphs/follower.py
+++ b/packages/entry/src/samphiredeal/entry/graphs/follower.py
@@ -39,6 +39,7 @@
         self._on_rows = on_rows
         self._version = None
         self._confirmed_at = None
+        self._heard_at = None
         self._store_clock = None
         self._running = False
         self._failing = False
@@ -63,6 +64,13 @@
             return float("inf")
         return self._clock.seconds() - self._confirmed_at
 
+    @property
+    def unheard_s(self):
+        """How long ago the store last answered, in seconds."""
+        if self._heard_at is None:
+            return float("inf")
+        return self._clock.seconds() - self._heard_at
+
     def stop(self):
         """End after the present call."""
         self._running = False
@@ -106,6 +114,7 @@
             self._on_rows(answer.rows, whole)
         self._version = max(self._version or 0, answer.version)
         self._confirmed_at = sent_at
+        self._heard_at = self._clock.seconds()
         return True
 
     def _ask(self, wait_s):
--- a/packages/entry/src/samphiredeal/entry/graphs/intake.py
+++ b/packages/entry/src/samphiredeal/entry/graphs/intake.py
@@ -35,7 +35,9 @@
 _SLOW_WRITE_S = 1.8
 # One try: a write whose answer is lost is known by its condition when repeated.
 _TRY_S = 0.5
-# A call for changes that is answered late waits for 0.5 s and as long again.
+# A sound store is heard every 0.5 s, at the end of each call for changes, and one
+# that is slowed ninetyfold every 1.0 s.
+_HEARD_NOW_S = 0.7
 _HEARD_WITHIN_S = 1.0
 # Between tries of one write: a passing refusal is over by then.
 _RETRY_PAUSE_S = 0.15
@@ -54,7 +56,11 @@
 
 
 class Intake:
-    """Answers calls from the rows in memory and writes to the store."""
+    """Answers calls from the rows in memory and writes to the store.
+
+    `relay(call)` asks another entry while the store is not heard here; it gives
+    a `JobAnswer`, or None if no entry can help.
+    """
 
     def __init__(
         self,
@@ -65,7 +71,9 @@
         config_age_s,
         view,
         store_age_s,
+        store_unheard_s,
         config_max_age_s,
+        relay,
     ):
         self._clock = clock
         self._wall_ms = wall_ms
@@ -74,7 +82,9 @@
         self._config_age_s = config_age_s
         self._view = view
         self._store_age_s = store_age_s
+        self._store_unheard_s = store_unheard_s
         self._config_max_age_s = config_max_age_s
+        self._relay = relay
         self._in_flight = 0
         self._unanswered_at = float("-inf")
         self._unsettled = {}
@@ -89,14 +99,48 @@
         self._in_flight += 1
         began_at = self._clock.seconds()
         try:
-            queue, job_id, answer = self._route(call)
-            if answer is None:
-                answer = await self._serve(call, queue, job_id)
+            if not self._hears_store():
+                answer = await self._answer_cut_off(call)
+            else:
+                answer = await self._answer_here(call)
+                if answer.kind == answers.NOT_DONE:
+                    spent_s = self._clock.seconds() - began_at
+                    rest = call._replace(wait_s=max(0.0, call.wait_s - spent_s))
+                    answer = _surer(answer, await self._relay(rest))
         finally:
             self._in_flight -= 1
         self._log(call, answer, began_at)
         return answer
 
+    async def answer_for_entry(self, call):
+        """Return the answer to a call that another entry has passed on.
+
+        An entry that may itself not hear the store says so at once: the caller's
+        time is short, and a write into the silence would be unsettled.
+        """
+        began_at = self._clock.seconds()
+        unheard_s = self._store_unheard_s()
+        if unheard_s > _HEARD_NOW_S:
+            reason = f"the store was last heard {unheard_s:.1f} s ago"
+            answer = _not_done(reason, unheard_s)
+        else:
+            answer = await self._answer_here(call)
+        self._log(call, answer, began_at)
+        return answer
+
+    async def _answer_cut_off(self, call):
+        """Answer by another entry if one hears the store, else from memory."""
+        relayed = await self._relay(call)
+        if relayed is not None and relayed.kind != answers.UNSETTLED:
+            return relayed
+        return _surer(await self._answer_here(call), relayed)
+
+    async def _answer_here(self, call):
+        queue, job_id, answer = self._route(call)
+        if answer is None:
+            answer = await self._serve(call, queue, job_id)
+        return answer
+
     def _route(self, call):
         """Return (queue, job id, None), or (None, '', the refusal)."""
         directory = self._operations.directory
@@ -243,7 +287,7 @@
 
     def _hears_store(self):
         """Return whether the store answers other calls, however slowly."""
-        return self._store_age_s() < _HEARD_WITHIN_S
+        return self._store_unheard_s() < _HEARD_WITHIN_S
 
     def _is_store_silent(self):
         """Return whether nothing has come from the store for too long.
@@ -252,7 +296,8 @@
         """
         age_s = self._store_age_s()
         since_s = self._clock.seconds() - self._unanswered_at
-        return age_s > STORE_SILENT_S or since_s < age_s > _HEARD_WITHIN_S
+        unheard = since_s < self._store_unheard_s() and not self._hears_store()
+        return age_s > STORE_SILENT_S or unheard
 
     def _forget_settled(self):
         """Drop the writes that can no longer be applied late."""
@@ -287,6 +332,16 @@
         )
 
 
+def _surer(answer, relayed):
+    """Return an entry's own answer, or another's to the same call if it helps.
+
+    A call is refused only if neither can have taken effect.
+    """
+    if relayed is None or answer.kind not in (answers.NOT_DONE, answers.UNSETTLED):
+        return answer
+    return relayed
+
+
 def _not_done(reason, outage_s=0.0):
     """Return a refusal that tells when to come back."""
     wait_s = _retry_after_s(outage_s)
--- a/packages/entry/src/samphiredeal/entry/graphs/node.py
+++ b/packages/entry/src/samphiredeal/entry/graphs/node.py
@@ -12,6 +12,7 @@
 from samphiredeal.entry.graphs.intake import Intake
 from samphiredeal.entry.graphs.leadership import Leadership
 from samphiredeal.entry.graphs.operations import OperationsView
+from samphiredeal.entry.graphs.relay import Relay
 from samphiredeal.entry.graphs.witness import WitnessedTable
 from samphiredeal.entry.graphs.work import WorkView
 from samphiredeal.entry.periodic import Periodic
@@ -58,14 +59,16 @@
 
 class GraphEntry:
     """One entry. `table` holds the system's rows, `operator_table` the
-    operator's; `connect(address)` returns a Deferred of a link. `advice` asks
-    which workers may run a step, where queues need that.
+    operator's; `connect(address)` returns a Deferred of a link, and other entries
+    reach this one at `address`. `advice` asks which workers may run a step, where
+    queues need that.
     """
 
     def __init__(
         self,
         clock,
         name,
+        address,
         table,
         operator_table,
         connect,
@@ -99,6 +102,15 @@
             random,
             self._leadership_changed,
         )
+        self._relay = Relay(
+            clock,
+            name,
+            address,
+            connect,
+            table,
+            self._view,
+            lambda call: self._intake.answer_for_entry(call),
+        )
         self._intake = Intake(
             clock,
             self._time_of_day.ms,
@@ -107,7 +119,9 @@
             lambda: self._operator_rows.age_s,
             self._view,
             lambda: self._work_rows.age_s,
+            lambda: self._work_rows.unheard_s,
             _CONFIG_AGE_SHARE * (bounds.config_apply_s + bounds.config_stretch_s),
+            self._relay.ask,
         )
         self._context = HostContext(
             clock,
@@ -170,11 +184,16 @@
         """Begin to follow the rows and to take part in the choice."""
         for follower in (self._operator_rows, self._work_rows):
             ensureDeferred(follower.run()).addErrback(_log_failure)
+        ensureDeferred(self._relay.announce()).addErrback(_log_failure)
         self._periodic.every(SAMPLE_EVERY_S, self._time_of_day.sample)
         self._periodic.every_coroutine(
             _LEADER_TICK_S, "leadership", self._leadership.tick
         )
 
+    def accept(self, link):
+        """Take a link that another entry has opened."""
+        self._relay.accept(link)
+
     async def drain(self):
         """Stop as planned: hand over, let callers go, finish what is answered."""
         self._stopping = True
@@ -191,6 +210,7 @@
     def stop(self):
         """Stop at once."""
         self._periodic.stop()
+        self._relay.stop()
         self._operator_rows.stop()
         self._work_rows.stop()
         if self._dispatcher is not None:
--- a/packages/entry/src/samphiredeal/entry/graphs/work.py
+++ b/packages/entry/src/samphiredeal/entry/graphs/work.py
@@ -4,7 +4,8 @@
 them. ``job/ID`` is created by the entry that accepts a job, ``cancel/ID`` by
 the one that takes its cancel, ``progress/ID`` is written by the scheduler.
 ``epoch`` names the scheduler, ``beat`` shows that it lives, ``worker/NAME``
-announces an agent and ``evicted/NAME`` tells it to let its leases lapse.
+announces an agent and ``evicted/NAME`` tells it to let its leases lapse;
+``entry/NAME`` announces an entry to the others.
 """
 
 from typing import NamedTuple
@@ -23,6 +24,7 @@
 _CANCEL = "cancel/"
 _WORKER = "worker/"
 _EVICTED = "evicted/"
+_ENTRY = "entry/"
 
 
 def job_key(job_id):
@@ -50,6 +52,11 @@
     return _EVICTED + name
 
 
+def entry_key(name):
+    """Return the key under which an entry announces itself."""
+    return _ENTRY + name
+
+
 class EpochRecord(NamedTuple):
     """Who schedules; `nonce` tells attempts to take over apart."""
 
@@ -78,6 +85,12 @@
     zone: str
 
 
+class EntryRecord(NamedTuple):
+    """Where other entries can reach an entry."""
+
+    address: str
+
+
 class Versioned(NamedTuple):
     """A decoded row and its version."""
 
@@ -89,6 +102,7 @@
     _JOB: JobRecord,
     _PROGRESS: records.Progress,
     _WORKER: WorkerRecord,
+    _ENTRY: EntryRecord,
 }
 
 
@@ -103,6 +117,7 @@
         self.cancels = {}
         self.workers = {}
         self.evicted = {}
+        self.entries = {}
         self.epoch = Versioned(EpochRecord(0, "", ""), 0)
         self.beat = Versioned(BeatRecord(0, 0), 0)
         self.beat_seen_at = clock.seconds()
@@ -114,6 +129,7 @@
             _CANCEL: self.cancels,
             _WORKER: self.workers,
             _EVICTED: self.evicted,
+            _ENTRY: self.entries,
         }
 
     def on_rows(self, rows, whole):
--- a/packages/platform/src/samphiredeal/platform/service_http.py
+++ b/packages/platform/src/samphiredeal/platform/service_http.py
@@ -3,6 +3,7 @@
 Each resource decodes a request, hands it to a function and encodes the answer.
 """
 
+from eliot import log_message
 from twisted.internet.defer import ensureDeferred
 from twisted.web.resource import Resource
 from twisted.web.server import NOT_DONE_YET, Site
@@ -64,7 +65,7 @@
             ),
             body=request.content.read(),
         )
-        ensureDeferred(self._serve(request, call))
+        ensureDeferred(self._serve(request, call)).addErrback(_fail, request)
         return NOT_DONE_YET
 
     async def _serve(self, request, call):
@@ -81,6 +82,15 @@
         request.finish()
 
 
+def _fail(failure, request):
+    """Tell a caller at once that the fate of its call is not known."""
+    log_message(message_type="call_failed", reason=failure.getTraceback())
+    if not request._disconnected and not request.finished:
+        request.setResponseCode(_STATUS[answers.UNSETTLED])
+        request.write(callers.encode_error("the call failed here; ask again"))
+        request.finish()
+
+
 def _body(answer):
     if answer.kind == answers.STATE:
         return callers.encode_state(answer.state)
--- a/tests/graph_world.py
+++ b/tests/graph_world.py
@@ -122,6 +122,7 @@
         node.process = GraphEntry(
             node.clock,
             name,
+            name,
             self.table.view(node.clock, node.faults),
             self.operator_table.view(node.clock, node.faults),
             lambda address: self.network.connect(node, address),
@@ -129,6 +130,12 @@
             self.clock.seconds,
             random.Random(self.random.random()),
         )
+
+        def accept(link):
+            node.links.append(link)
+            node.process.accept(link)
+
+        self.network.listen(name, node, accept)
         node.process.start()
         return node.process
 
