Serve the last tries of callers when the store returns

Cause: a refusal rested on what was known before the call; the time kept for the answer's way, 0.15 s, was taken from callers who had less than that.

A caller with 0.6 s left or less waits for one more probe, for 0.35 of its time at most; all others are told at once when to come back. Probes go out every 0.1 s, so that one fits into that time. The time kept for the way is a quarter of what is left if that is less.

--- a/packages/entry/src/samphiredeal/entry/graphs/follower.py
+++ b/packages/entry/src/samphiredeal/entry/graphs/follower.py
@@ -20,7 +20,7 @@
 _RETRY_MOST_S = 0.2
 # While the store is silent it is asked again this often: what was sent before its
 # return is not answered after it either.
-_PROBE_EVERY_S = 0.2
+_PROBE_EVERY_S = 0.1
 
 
 class Follower:
--- a/packages/entry/src/samphiredeal/entry/graphs/intake.py
+++ b/packages/entry/src/samphiredeal/entry/graphs/intake.py
@@ -39,13 +39,22 @@
 # that is slowed ninetyfold every 1.0 s.
 _HEARD_NOW_S = 0.7
 _HEARD_WITHIN_S = 1.0
+# A probe is sent every 0.1 s, and a sound store answers it within milliseconds.
+_PROBE_ANSWER_S = 0.3
+_PROBE_POLL_S = 0.05
+# At most this share of a caller's time is spent on waiting for news.
+_NEWS_TIME_SHARE = 0.35
+# Callers with less time than this can hardly come back once more.
+_LAST_TRIES_S = 0.6
 # Between tries of one write: a passing refusal is over by then.
 _RETRY_PAUSE_S = 0.15
 # A running job's state is told once an end that a worker lists as the caller asks
 # would have been stored; callers often ask just then, and would ask again at once.
 _END_STORED_S = 0.25
-# Time kept for the way of the answer back to the caller.
+# Time kept for the way of the answer back to the caller, and at most this share of
+# what is left: a sound store answers a write within 0.02 s.
 _ANSWER_SLACK_S = 0.15
+_ANSWER_SLACK_SHARE = 0.25
 # For this long a write without an answer may still be applied: orders that the
 # platform holds up come within 6 s, and then some.
 _UNSETTLED_KEPT_S = 15.0
@@ -130,11 +139,30 @@
 
     async def _answer_cut_off(self, call):
         """Answer by another entry if one hears the store, else from memory."""
+        began_at = self._clock.seconds()
         relayed = await self._relay(call)
         if relayed is not None and relayed.kind != answers.UNSETTLED:
             return relayed
+        await self._wait_for_probe(call, began_at)
         return _surer(await self._answer_here(call), relayed)
 
+    async def _wait_for_probe(self, call, began_at):
+        """Give the store the time to answer one more probe to a caller's last tries.
+
+        Callers with more time are told at once when to come back.
+        """
+        if call.wait_s > _LAST_TRIES_S:
+            return
+        wait_s = min(_PROBE_ANSWER_S, _NEWS_TIME_SHARE * call.wait_s)
+        give_up_at = began_at + wait_s
+        while self._is_blind() and self._clock.seconds() < give_up_at:
+            await deferLater(self._clock, _PROBE_POLL_S)
+
+    def _is_blind(self):
+        """Return whether calls are refused for what is known here."""
+        too_old = self._config_age_s() > self._config_max_age_s
+        return too_old or not self._hears_store()
+
     async def _answer_here(self, call):
         queue, job_id, answer = self._route(call)
         if answer is None:
@@ -219,7 +247,7 @@
         if known is not True:
             return known
         if self._view.is_running(job_id):
-            wait_s = min(max(0.0, call.wait_s - _ANSWER_SLACK_S), _END_STORED_S)
+            wait_s = min(_END_STORED_S, _NEWS_TIME_SHARE * call.wait_s)
             await self._view.until_ended(job_id, wait_s)
         state = self._view.state_of(job_id) or "queued"
         return JobAnswer(answers.STATE, state=state)
@@ -283,7 +311,7 @@
     def _patience_s(self, call):
         """Return for how long a write is settled, in seconds from its beginning."""
         limit_s = _SLOW_WRITE_S if self._hears_store() else _UNSETTLED_WRITE_S
-        return min(max(0.0, call.wait_s - _ANSWER_SLACK_S), limit_s)
+        return min(_time_left_s(call), limit_s)
 
     def _hears_store(self):
         """Return whether the store answers other calls, however slowly."""
@@ -342,6 +370,11 @@
     return relayed
 
 
+def _time_left_s(call):
+    """Return how long a call may be worked on so that its answer is in time."""
+    return call.wait_s - min(_ANSWER_SLACK_S, _ANSWER_SLACK_SHARE * call.wait_s)
+
+
 def _not_done(reason, outage_s=0.0):
     """Return a refusal that tells when to come back."""
     wait_s = _retry_after_s(outage_s)
--- a/packages/entry/src/samphiredeal/entry/graphs/relay.py
+++ b/packages/entry/src/samphiredeal/entry/graphs/relay.py
@@ -25,7 +25,7 @@
 _PEERS_ASKED = 2
 _ANNOUNCE_RETRY_S = 0.3
 # Of the time that a caller still waits, at most this share is spent on others.
-_TIME_SHARE = 0.5
+_TIME_SHARE = 0.3
 # An entry that cannot be reached is asked last for this long: its VM is cut off or
 # gone, and each try costs a caller the time of a connection that hangs.
 _AVOIDED_S = 60.0
