Take no configuration back after a relay; count relayed calls in a planned stop

An entry that had shown a caller a new configuration by way of another entry could answer from its own older one once it heard of jobs again, if its configuration came back later (a part of the store may stay down). It now counts as cut off until it hears both. A planned stop did not wait for calls that it was answering for other entries.

Tests: test_configuration_does_not_go_back_after_a_relay (unknown-key before) and test_relayed_call_is_answered_before_a_planned_stop_ends; both failed before.

--- a/packages/entry/src/samphiredeal/entry/graphs/intake.py
+++ b/packages/entry/src/samphiredeal/entry/graphs/intake.py
@@ -39,6 +39,8 @@
 # that is slowed ninetyfold every 1.0 s.
 _HEARD_NOW_S = 0.7
 _HEARD_WITHIN_S = 1.0
+# The same for the configuration, whose changes are asked for every 0.7 s.
+_CONFIG_HEARD_WITHIN_S = 1.3
 # A probe is sent every 0.1 s, and a sound store answers it within milliseconds.
 _PROBE_ANSWER_S = 0.3
 _PROBE_POLL_S = 0.05
@@ -81,6 +83,7 @@
         view,
         store_age_s,
         store_unheard_s,
+        config_unheard_s,
         config_max_age_s,
         relay,
     ):
@@ -92,6 +95,7 @@
         self._view = view
         self._store_age_s = store_age_s
         self._store_unheard_s = store_unheard_s
+        self._config_unheard_s = config_unheard_s
         self._config_max_age_s = config_max_age_s
         self._relay = relay
         self._in_flight = 0
@@ -129,11 +133,15 @@
         """
         began_at = self._clock.seconds()
         unheard_s = self._store_unheard_s()
-        if unheard_s > _HEARD_NOW_S:
+        if unheard_s > _HEARD_NOW_S or not self._hears_store():
             reason = f"the store was last heard {unheard_s:.1f} s ago"
             answer = _not_done(reason, unheard_s)
         else:
-            answer = await self._answer_here(call)
+            self._in_flight += 1
+            try:
+                answer = await self._answer_here(call)
+            finally:
+                self._in_flight -= 1
         self._log(call, answer, began_at)
         return answer
 
@@ -314,8 +322,15 @@
         return min(_time_left_s(call), limit_s)
 
     def _hears_store(self):
-        """Return whether the store answers other calls, however slowly."""
-        return self._store_unheard_s() < _HEARD_WITHIN_S
+        """Return whether the store answers other calls, however slowly.
+
+        It has to answer for the configuration too: another entry may have shown
+        the caller a newer one than is known here.
+        """
+        return (
+            self._store_unheard_s() < _HEARD_WITHIN_S
+            and self._config_unheard_s() < _CONFIG_HEARD_WITHIN_S
+        )
 
     def _is_store_silent(self):
         """Return whether nothing has come from the store for too long.
--- a/packages/entry/src/samphiredeal/entry/graphs/node.py
+++ b/packages/entry/src/samphiredeal/entry/graphs/node.py
@@ -120,6 +120,7 @@
             self._view,
             lambda: self._work_rows.age_s,
             lambda: self._work_rows.unheard_s,
+            lambda: self._operator_rows.unheard_s,
             _CONFIG_AGE_SHARE * (bounds.config_apply_s + bounds.config_stretch_s),
             self._relay.ask,
         )
--- a/tests/graph_world.py
+++ b/tests/graph_world.py
@@ -93,6 +93,7 @@
         self.name = name
         self.clock = clock
         self.faults = Faults()
+        self.operator_table = None
         self.process = None
         self.links = []
 
@@ -119,12 +120,13 @@
 
     def add_entry(self, name):
         node = self._node(name)
+        node.operator_table = self.operator_table.view(node.clock, node.faults)
         node.process = GraphEntry(
             node.clock,
             name,
             name,
             self.table.view(node.clock, node.faults),
-            self.operator_table.view(node.clock, node.faults),
+            node.operator_table,
             lambda address: self.network.connect(node, address),
             BOUNDS,
             self.clock.seconds,
--- a/tests/test_relay.py
+++ b/tests/test_relay.py
@@ -7,6 +7,7 @@
 from twisted.internet.error import ConnectingCancelledError
 
 from samphiredeal.model import answers
+from samphiredeal.platform.memory import Faults
 from samphiredeal.wire.messages import AskReply
 
 STEP = {"count": 1, "cpu": 1000, "mem-mb": 1000, "gpu": 1, "estimated-ms": 1000}
@@ -131,3 +132,38 @@
     got = world.call("e0", answers.SUBMIT, "/normal/a1", body, wait_s=0.14)
     world.run_until(lambda: got, 0.14)
     assert got[0].kind == answers.NOT_DONE
+
+
+# A configuration that was shown by way of another entry is not taken back by one
+# that hears of jobs again and not yet of the configuration.
+def test_configuration_does_not_go_back_after_a_relay():
+    world = make_graph_world()
+    turn_away(world, "e0", "silent")
+    world.run(0.5)
+    world.configure(keys=("key-2",))
+    world.run(1.2)
+    body = msgspec.json.encode({"spec": "", "steps": [STEP]})
+
+    def submit(job_id):
+        path = f"/normal/{job_id}"
+        return world.settle(world.call("e0", answers.SUBMIT, path, body, "key-2"))
+
+    assert submit("a1").kind == answers.ACCEPTED
+    world.nodes["e0"].operator_table.faults = Faults()
+    world.nodes["e0"].operator_table.faults.silent = True
+    world.nodes["e0"].faults.silent = False
+    world.run(0.3)
+    assert submit("b2").kind == answers.ACCEPTED
+
+
+def test_relayed_call_is_answered_before_a_planned_stop_ends():
+    world = make_graph_world()
+    holder = world.scheduler()
+    cut_off = next(entry for entry in ENTRIES if entry != holder)
+    turn_away(world, cut_off, "silent")
+    world.run(1.2)
+    world.submit(holder, "a1", [{**STEP, "estimated-ms": 5000}])
+    world.run_until(lambda: world.state(holder, "a1") == "running", 2.0)
+    got = world.call(cut_off, answers.LOOK, "/normal/a1")
+    world.run_until(lambda: world.nodes[holder].process.intake.in_flight, 0.1)
+    assert world.settle(got).state == "running"
