Write again once the store is back instead of waiting for a lost write

A write is made again as soon as the store has returned since it was sent; into a silent store it is not repeated.

--- a/packages/entry/src/samphiredeal/entry/graphs/follower.py
+++ b/packages/entry/src/samphiredeal/entry/graphs/follower.py
@@ -43,6 +43,12 @@
         self._store_clock = None
         self._running = False
         self._failing = False
+        self._returns = 0
+
+    @property
+    def returns(self):
+        """How often the store has answered again after it had not."""
+        return self._returns
 
     @property
     def version(self):
@@ -150,6 +156,7 @@
     def _note(self, failing, reason=""):
         if failing != self._failing:
             self._failing = failing
+            self._returns += not failing
             log_message(
                 message_type="follower_failing" if failing else "follower_regained",
                 table=self._name,
--- a/packages/entry/src/samphiredeal/entry/graphs/intake.py
+++ b/packages/entry/src/samphiredeal/entry/graphs/intake.py
@@ -84,6 +84,7 @@
         store_age_s,
         store_unheard_s,
         config_unheard_s,
+        store_returns,
         config_max_age_s,
         relay,
     ):
@@ -96,6 +97,7 @@
         self._store_age_s = store_age_s
         self._store_unheard_s = store_unheard_s
         self._config_unheard_s = config_unheard_s
+        self._store_returns = store_returns
         self._config_max_age_s = config_max_age_s
         self._relay = relay
         self._in_flight = 0
@@ -287,9 +289,11 @@
             return Unavailable(reason, not_applied=True)
         began_at = self._clock.seconds()
         spent_s, certain = 0.0, True
+        returns = self._store_returns()
         written = self._table.write(conditions, puts)
         while True:
-            wait_s = min(_TRY_S, self._patience_s(call) - spent_s)
+            try_s = _TRY_S if self._hears_store() else _RETRY_PAUSE_S
+            wait_s = min(try_s, self._patience_s(call) - spent_s)
             answer = await within(self._clock, wait_s, written)
             if not isinstance(answer, Unavailable):
                 return answer
@@ -300,12 +304,16 @@
                 limit_s = min(limit_s, _REFUSED_WRITE_S)
             if spent_s + _RETRY_PAUSE_S >= limit_s:
                 return self._give_up(key, answer, sure)
-            if not written.called and self._hears_store():
-                # It waits its turn; a repeat would wait behind it.
+            returned = self._store_returns() != returns
+            if not written.called and not returned:
+                # At a slow store a repeat would wait behind the first, and into a
+                # silent one it would be lost as well.
                 continue
             certain = sure
-            await deferLater(self._clock, _RETRY_PAUSE_S)
+            if not returned:
+                await deferLater(self._clock, _RETRY_PAUSE_S)
             spent_s = self._clock.seconds() - began_at
+            returns = self._store_returns()
             written = self._table.write(conditions, puts)
 
     def _give_up(self, key, answer, certain):
--- a/packages/entry/src/samphiredeal/entry/graphs/node.py
+++ b/packages/entry/src/samphiredeal/entry/graphs/node.py
@@ -121,6 +121,7 @@
             lambda: self._work_rows.age_s,
             lambda: self._work_rows.unheard_s,
             lambda: self._operator_rows.unheard_s,
+            lambda: self._work_rows.returns,
             _CONFIG_AGE_SHARE * (bounds.config_apply_s + bounds.config_stretch_s),
             self._relay.ask,
         )
--- a/tests/test_store_return.py
+++ b/tests/test_store_return.py
@@ -90,3 +90,19 @@
     got = world.call("e0", answers.SUBMIT, "/normal/a1", body, wait_s=0.04)
     world.run(0.04)
     assert got[0].kind == answers.ACCEPTED
+
+
+# trouble-2 --seed 886549538300: a job whose first write was unsettled was written
+# again into the silence, and that write was waited for beyond the store's return.
+@pytest.mark.parametrize("later_s", [0.1, 0.3, 0.5, 0.7, 0.9])
+def test_unsettled_job_is_accepted_soon_after_the_return(later_s):
+    world = make_graph_world()
+    silence(world, True)
+    assert world.submit("e0", "a1", [STEP]).kind == answers.UNSETTLED
+    world.run(0.3)
+    body = msgspec.json.encode({"spec": "", "steps": [STEP]})
+    got = world.call("e0", answers.SUBMIT, "/normal/a1", body, wait_s=1.8)
+    advance(world, later_s)
+    silence(world, False)
+    world.run_until(lambda: got, 0.45)
+    assert got[0].kind == answers.ACCEPTED
