--- a/packages/entry/src/samphiredeal/entry/graphs/intake.py
+++ b/packages/entry/src/samphiredeal/entry/graphs/intake.py
@@ -8,7 +8,7 @@
 from twisted.internet.task import deferLater
 
 from samphiredeal.entry.graphs import work
-from samphiredeal.entry.graphs.follower import STORE_SILENT_S
+from samphiredeal.entry.graphs.settling import Settler
 from samphiredeal.model import answers
 from samphiredeal.model.answers import JobAnswer
 from samphiredeal.model.graph import JobRecord
@@ -19,28 +19,9 @@
     Conflict,
     Put,
     Row,
-    Unavailable,
-    within,
 )
 from samphiredeal.policy.graphs import records
 
-# How long a write that the store refuses is tried again before the caller is
-# told to come back: a passing shortage, not an outage.
-_REFUSED_WRITE_S = 0.6
-# How long a write without an answer is settled before the caller is told: most
-# callers wait 3 s, and one that is told by half of that can try elsewhere.
-_UNSETTLED_WRITE_S = 1.2
-# The same while other answers show that the store is slow and not silent: the
-# longest queue that it lets wait, and a slow write.
-_SLOW_WRITE_S = 1.8
-# One try: a write whose answer is lost is known by its condition when repeated.
-_TRY_S = 0.5
-# A sound store is heard every 0.5 s, at the end of each call for changes, and one
-# that is slowed ninetyfold every 1.0 s.
-_HEARD_NOW_S = 0.7
-_HEARD_WITHIN_S = 1.0
-# The same for the configuration, whose changes are asked for every 0.7 s.
-_CONFIG_HEARD_WITHIN_S = 1.3
 # A probe is sent every 0.1 s, and a sound store answers it within milliseconds.
 _PROBE_ANSWER_S = 0.3
 _PROBE_POLL_S = 0.05
@@ -48,18 +29,9 @@
 _NEWS_TIME_SHARE = 0.35
 # Callers with less time than this can hardly come back once more.
 _LAST_TRIES_S = 0.6
-# Between tries of one write: a passing refusal is over by then.
-_RETRY_PAUSE_S = 0.15
 # A running job's state is told once an end that a worker lists as the caller asks
 # would have been stored; callers often ask just then, and would ask again at once.
 _END_STORED_S = 0.25
-# Time kept for the way of the answer back to the caller, and at most this share of
-# what is left: a sound store answers a write within 0.02 s.
-_ANSWER_SLACK_S = 0.15
-_ANSWER_SLACK_SHARE = 0.25
-# For this long a write without an answer may still be applied: orders that the
-# platform holds up come within 6 s, and then some.
-_UNSETTLED_KEPT_S = 15.0
 # A refused caller comes back after about as long as the outage has lasted: short
 # ones cost little, and its few tries last through a long one.
 _RETRY_AFTER_MIN_S = 1.0
@@ -79,12 +51,8 @@
         wall_ms,
         table,
         operations,
-        config_age_s,
         view,
-        store_age_s,
-        store_unheard_s,
-        config_unheard_s,
-        store_returns,
+        hearing,
         config_max_age_s,
         relay,
     ):
@@ -92,17 +60,12 @@
         self._wall_ms = wall_ms
         self._table = table
         self._operations = operations
-        self._config_age_s = config_age_s
         self._view = view
-        self._store_age_s = store_age_s
-        self._store_unheard_s = store_unheard_s
-        self._config_unheard_s = config_unheard_s
-        self._store_returns = store_returns
+        self._hearing = hearing
+        self._settler = Settler(clock, table, hearing)
         self._config_max_age_s = config_max_age_s
         self._relay = relay
         self._in_flight = 0
-        self._unanswered_at = float("-inf")
-        self._unsettled = {}
 
     @property
     def in_flight(self):
@@ -114,7 +77,7 @@
         self._in_flight += 1
         began_at = self._clock.seconds()
         try:
-            if not self._hears_store():
+            if not self._hearing.is_sound:
                 answer = await self._answer_cut_off(call)
             else:
                 answer = await self._answer_here(call)
@@ -134,16 +97,16 @@
         time is short, and a write into the silence would be unsettled.
         """
         began_at = self._clock.seconds()
-        unheard_s = self._store_unheard_s()
-        if unheard_s > _HEARD_NOW_S or not self._hears_store():
-            reason = f"the store was last heard {unheard_s:.1f} s ago"
-            answer = _not_done(reason, unheard_s)
-        else:
+        if self._hearing.is_prompt:
             self._in_flight += 1
             try:
                 answer = await self._answer_here(call)
             finally:
                 self._in_flight -= 1
+        else:
+            unheard_s = self._hearing.unheard_s
+            reason = f"the store was last heard {unheard_s:.1f} s ago"
+            answer = _not_done(reason, unheard_s)
         self._log(call, answer, began_at)
         return answer
 
@@ -170,8 +133,8 @@
 
     def _is_blind(self):
         """Return whether calls are refused for what is known here."""
-        too_old = self._config_age_s() > self._config_max_age_s
-        return too_old or not self._hears_store()
+        too_old = self._hearing.config_age_s > self._config_max_age_s
+        return too_old or not self._hearing.is_sound
 
     async def _answer_here(self, call):
         queue, job_id, answer = self._route(call)
@@ -184,7 +147,7 @@
         directory = self._operations.directory
         if directory is None:
             return None, "", _not_done("no configuration is known yet")
-        age_s = self._config_age_s()
+        age_s = self._hearing.config_age_s
         if age_s > self._config_max_age_s:
             reason = f"the configuration was last confirmed {age_s:.1f} s ago"
             return None, "", _not_done(reason, age_s)
@@ -233,7 +196,7 @@
             advice=queue.advice,
         )
         key = work.job_key(job_id)
-        answer = await self._write(
+        answer = await self._settler.write(
             call, [Condition(key, 0)], [Put(key, records.encode(record))]
         )
         if isinstance(answer, Committed | Conflict):
@@ -247,7 +210,7 @@
         if job_id in self._view.cancels:
             return JobAnswer(answers.CANCELLED)
         key = work.cancel_key(job_id)
-        answer = await self._write(call, [Condition(key, 0)], [Put(key, b"{}")])
+        answer = await self._settler.write(call, [Condition(key, 0)], [Put(key, b"{}")])
         if isinstance(answer, Committed | Conflict):
             return JobAnswer(answers.CANCELLED)
         return self._store_refusal(answer)
@@ -276,94 +239,13 @@
             return JobAnswer(answers.NO_JOB, reason="no such job")
         return True
 
-    async def _write(self, call, conditions, puts):
-        """Write until the answer is certain or the time for it is over.
-
-        Returns the store's answer; its `not_applied` is true only if no try
-        can have been applied.
-        """
-        key = conditions[0].key
-        self._forget_settled()
-        if self._is_store_silent() and key not in self._unsettled:
-            reason = f"silent for {self._store_age_s():.1f} s"
-            return Unavailable(reason, not_applied=True)
-        began_at = self._clock.seconds()
-        spent_s, certain = 0.0, True
-        returns = self._store_returns()
-        written = self._table.write(conditions, puts)
-        while True:
-            try_s = _TRY_S if self._hears_store() else _RETRY_PAUSE_S
-            wait_s = min(try_s, self._patience_s(call) - spent_s)
-            answer = await within(self._clock, wait_s, written)
-            if not isinstance(answer, Unavailable):
-                return answer
-            spent_s = self._clock.seconds() - began_at
-            limit_s = self._patience_s(call)
-            sure = certain and answer.not_applied
-            if sure:
-                limit_s = min(limit_s, _REFUSED_WRITE_S)
-            if spent_s + _RETRY_PAUSE_S >= limit_s:
-                return self._give_up(key, answer, sure)
-            returned = self._store_returns() != returns
-            if not written.called and not returned:
-                # At a slow store a repeat would wait behind the first, and into a
-                # silent one it would be lost as well.
-                continue
-            certain = sure
-            if not returned:
-                await deferLater(self._clock, _RETRY_PAUSE_S)
-            spent_s = self._clock.seconds() - began_at
-            returns = self._store_returns()
-            written = self._table.write(conditions, puts)
-
-    def _give_up(self, key, answer, certain):
-        """Return the last answer to a write; `certain` if no try can apply."""
-        if not certain:
-            self._unanswered_at = self._clock.seconds()
-            self._unsettled[key] = self._unanswered_at
-        settled = certain and key not in self._unsettled
-        return answer._replace(not_applied=settled)
-
-    def _patience_s(self, call):
-        """Return for how long a write is settled, in seconds from its beginning."""
-        limit_s = _SLOW_WRITE_S if self._hears_store() else _UNSETTLED_WRITE_S
-        return min(_time_left_s(call), limit_s)
-
-    def _hears_store(self):
-        """Return whether the store answers other calls, however slowly.
-
-        It has to answer for the configuration too: another entry may have shown
-        the caller a newer one than is known here.
-        """
-        return (
-            self._store_unheard_s() < _HEARD_WITHIN_S
-            and self._config_unheard_s() < _CONFIG_HEARD_WITHIN_S
-        )
-
-    def _is_store_silent(self):
-        """Return whether nothing has come from the store for too long.
-
-        A write without an answer is as good a sign as a follower's silence.
-        """
-        age_s = self._store_age_s()
-        since_s = self._clock.seconds() - self._unanswered_at
-        unheard = since_s < self._store_unheard_s() and not self._hears_store()
-        return age_s > STORE_SILENT_S or unheard
-
-    def _forget_settled(self):
-        """Drop the writes that can no longer be applied late."""
-        now = self._clock.seconds()
-        for key, at in list(self._unsettled.items()):
-            if now - at > _UNSETTLED_KEPT_S:
-                del self._unsettled[key]
-
     def _store_refusal(self, answer):
         """Return the answer to a call whose write the store did not confirm."""
         if answer.not_applied:
             reason = f"the store refuses writes: {answer.reason}"
-            return _not_done(reason, self._store_age_s())
+            return _not_done(reason, self._hearing.silence_s)
         reason = f"the store gave no answer: {answer.reason}"
-        wait_s = _retry_after_s(self._store_age_s())
+        wait_s = _retry_after_s(self._hearing.silence_s)
         return JobAnswer(answers.UNSETTLED, reason=reason, retry_after_s=wait_s)
 
     def _log(self, call, answer, began_at):
@@ -378,7 +260,7 @@
             retry_after_s=answer.retry_after_s,
             patience_s=round(call.wait_s, 3),
             config_version=self._operations.version,
-            config_age_s=round(self._config_age_s(), 3),
+            config_age_s=round(self._hearing.config_age_s, 3),
             took_ms=round((self._clock.seconds() - began_at) * 1000, 1),
         )
 
@@ -393,11 +275,6 @@
     return relayed
 
 
-def _time_left_s(call):
-    """Return how long a call may be worked on so that its answer is in time."""
-    return call.wait_s - min(_ANSWER_SLACK_S, _ANSWER_SLACK_SHARE * call.wait_s)
-
-
 def _not_done(reason, outage_s=0.0):
     """Return a refusal that tells when to come back."""
     wait_s = _retry_after_s(outage_s)
--- a/packages/entry/src/samphiredeal/entry/graphs/node.py
+++ b/packages/entry/src/samphiredeal/entry/graphs/node.py
@@ -9,6 +9,7 @@
 from samphiredeal.entry.graphs.daytime import SAMPLE_EVERY_S, TimeOfDay
 from samphiredeal.entry.graphs.dispatcher import Dispatcher
 from samphiredeal.entry.graphs.follower import Follower
+from samphiredeal.entry.graphs.hearing import Hearing
 from samphiredeal.entry.graphs.intake import Intake
 from samphiredeal.entry.graphs.leadership import Leadership
 from samphiredeal.entry.graphs.operations import OperationsView
@@ -116,12 +117,8 @@
             self._time_of_day.ms,
             table,
             self._operations,
-            lambda: self._operator_rows.age_s,
             self._view,
-            lambda: self._work_rows.age_s,
-            lambda: self._work_rows.unheard_s,
-            lambda: self._operator_rows.unheard_s,
-            lambda: self._work_rows.returns,
+            Hearing(self._work_rows, self._operator_rows),
             _CONFIG_AGE_SHARE * (bounds.config_apply_s + bounds.config_stretch_s),
             self._relay.ask,
         )
