Ask the follower whether the store is silent; drop a backoff that nothing reaches

Three places compared the follower's age with the same limit; a follower that fails probes until it is answered, so its doubling pause never got beyond the first; a link's callback was replaced before the link was closed, which its guard makes needless.

--- a/packages/entry/src/samphiredeal/entry/graphs/dispatcher.py
+++ b/packages/entry/src/samphiredeal/entry/graphs/dispatcher.py
@@ -9,7 +9,6 @@
 from twisted.internet.task import deferLater
 
 from samphiredeal.entry.graphs import work
-from samphiredeal.entry.graphs.follower import STORE_SILENT_S
 from samphiredeal.entry.graphs.sessions import Sessions
 from samphiredeal.platform.table import (
     Committed,
@@ -193,7 +192,7 @@
         now = self._clock.seconds()
         if self._committing or now < self._store_ready_at:
             return
-        if self._host.store_age_s() > STORE_SILENT_S:
+        if self._host.is_store_silent():
             # A write that is sent now would be waited for beyond the store's return.
             return
         if now - self._checkpoints_at > _CHECKPOINTS_EVERY_S:
--- a/packages/entry/src/samphiredeal/entry/graphs/follower.py
+++ b/packages/entry/src/samphiredeal/entry/graphs/follower.py
@@ -12,12 +12,11 @@
 
 # Without a sign of the store for this long, it is taken as silent: a call for
 # changes waits for 0.5 s and is given up 0.8 s later.
-STORE_SILENT_S = 1.7
+_STORE_SILENT_S = 1.7
 
-# Pauses after a call that failed; the first is short, since one lost answer
-# or a dropped connection is the usual cause.
-_RETRY_FIRST_S = 0.05
-_RETRY_MOST_S = 0.2
+# The pause after a call that failed is short, since one lost answer or a dropped
+# connection is the usual cause.
+_RETRY_S = 0.05
 # While the store is silent it is asked again this often: what was sent before its
 # return is not answered after it either.
 _PROBE_EVERY_S = 0.1
@@ -70,6 +69,11 @@
             return float("inf")
         return self._clock.seconds() - self._confirmed_at
 
+    @property
+    def is_silent(self):
+        """Whether the store has been silent for too long to write to it."""
+        return self.age_s > _STORE_SILENT_S
+
     @property
     def unheard_s(self):
         """How long ago the store last answered, in seconds."""
@@ -84,14 +88,9 @@
     async def run(self):
         """Follow until stopped."""
         self._running = True
-        retry_s = _RETRY_FIRST_S
         while self._running:
-            if await self._step():
-                retry_s = _RETRY_FIRST_S
-                await deferLater(self._clock, self._pause_s)
-            else:
-                await deferLater(self._clock, retry_s)
-                retry_s = min(2 * retry_s, _RETRY_MOST_S)
+            answered = await self._step()
+            await deferLater(self._clock, self._pause_s if answered else _RETRY_S)
 
     async def _step(self):
         """Make one call; return whether it was answered."""
--- a/packages/entry/src/samphiredeal/entry/graphs/hearing.py
+++ b/packages/entry/src/samphiredeal/entry/graphs/hearing.py
@@ -4,8 +4,6 @@
 it is decides what an entry does for its callers.
 """
 
-from samphiredeal.entry.graphs.follower import STORE_SILENT_S
-
 # A sound store is heard every 0.5 s, at the end of each call for changes, and one
 # that is slowed ninetyfold every 1.0 s.
 _HEARD_NOW_S = 0.7
@@ -42,7 +40,7 @@
     @property
     def is_silent(self):
         """Whether nothing has come from the store for too long to write to it."""
-        return self._work_rows.age_s > STORE_SILENT_S
+        return self._work_rows.is_silent
 
     @property
     def silence_s(self):
--- a/packages/entry/src/samphiredeal/entry/graphs/leadership.py
+++ b/packages/entry/src/samphiredeal/entry/graphs/leadership.py
@@ -9,7 +9,6 @@
 from eliot import log_message
 
 from samphiredeal.entry.graphs import work
-from samphiredeal.entry.graphs.follower import STORE_SILENT_S
 from samphiredeal.platform.table import (
     Committed,
     Condition,
@@ -119,8 +118,8 @@
             self.depose("a newer epoch is stored")
             return
         # A beat that is sent to a silent store would be waited for beyond its return.
-        silent = self._rows.age_s > STORE_SILENT_S
-        if self._clock.seconds() >= self._beat_due_at and not silent:
+        due = self._clock.seconds() >= self._beat_due_at
+        if due and not self._rows.is_silent:
             await self._beat()
 
     def next_beat(self):
--- a/packages/entry/src/samphiredeal/entry/graphs/node.py
+++ b/packages/entry/src/samphiredeal/entry/graphs/node.py
@@ -48,7 +48,7 @@
     view: object
     operations: object
     operations_age_s: object
-    store_age_s: object
+    is_store_silent: object
     connect: object
     wall_ms: object
     far_factor: float
@@ -128,7 +128,7 @@
             self._view,
             self._operations,
             lambda: self._operator_rows.age_s,
-            lambda: self._work_rows.age_s,
+            lambda: self._work_rows.is_silent,
             connect,
             self._time_of_day.ms,
             bounds.far_factor,
--- a/packages/entry/src/samphiredeal/entry/graphs/relay.py
+++ b/packages/entry/src/samphiredeal/entry/graphs/relay.py
@@ -114,7 +114,6 @@
         link.on_lost = lambda _link: _take(replied, None)
         link.send(Ask(self._name, _TOPIC, msgspec.msgpack.encode(call)))
         reply = await within(self._clock, min(_REPLY_S, call.wait_s), replied)
-        link.on_lost = _ignore
         link.close()
         if not isinstance(reply, AskReply):
             return JobAnswer(answers.UNSETTLED, reason=f"{name} did not reply")
@@ -154,9 +153,5 @@
         replied.callback(message)
 
 
-def _ignore(*_args):
-    """Stand in for a callback that is not needed any more."""
-
-
 def _failed(failure):
     log_message(message_type="relayed_call_failed", reason=failure.getTraceback())
