--- a/packages/entry/src/samphiredeal/entry/graphs/dispatcher.py
+++ b/packages/entry/src/samphiredeal/entry/graphs/dispatcher.py
@@ -107,6 +107,8 @@
                 scheduler.add_job(
                     stored.value, progress.value if progress else None, now
                 )
+                if progress is None:
+                    self._log_seen(scheduler.jobs[job_id])
         for job_id in [one for one in scheduler.jobs if one not in view.jobs]:
             scheduler.forget_job(job_id)
             self._versions.pop(job_id, None)
@@ -268,6 +270,19 @@
             took_s=round(took_s, 3),
         )
 
+    def _log_seen(self, job):
+        """Log how long ago a job was accepted that no scheduler has looked at yet."""
+        age_ms = self._host.wall_ms() - job.record.accepted_ms
+        job.unseen_s = max(0.0, round(age_ms / 1000, 3))
+        log_message(
+            message_type="job_seen",
+            epoch=self._leadership.epoch,
+            job=job.id,
+            queue=job.record.queue,
+            priority=job.record.priority,
+            unseen_s=job.unseen_s,
+        )
+
     def _log_ended_jobs(self, jobs):
         """Log once for each ended job what its time was spent on."""
         wall_ms = self._host.wall_ms()
@@ -282,6 +297,7 @@
                 state=job.state,
                 reason=job.reason,
                 age_s=round((wall_ms - job.record.accepted_ms) / 1000, 3),
+                unseen_s=job.unseen_s,
                 longest_wait_s=round(job.longest_wait_s, 3),
                 restarts=job.restarts,
                 storing_s=round(self._clock.seconds() - job.ended_at, 3),
--- a/packages/entry/src/samphiredeal/entry/graphs/leadership.py
+++ b/packages/entry/src/samphiredeal/entry/graphs/leadership.py
@@ -165,20 +165,24 @@
         if age_s > _FRESH_S:
             self._silent_since = now
             return
-        view = self._view
-        if not (view.epoch.version and view.beat.value.resigned):
-            self._silent_since = max(self._silent_since, view.beat_seen_at)
-            if not self._is_silent(now, age_s):
-                return
-        await self._take_over(now)
-
-    def _is_silent(self, now, age_s):
-        """Return whether the scheduler has been silent for long enough."""
-        silent_s = now - self._silent_since
-        if self._view.epoch.version == 0 or self._is_stale():
-            return silent_s >= self._stagger_s
+        self._silent_since = max(self._silent_since, self._view.beat_seen_at)
+        reason = self._reason_to_take_over(now, age_s)
+        if reason:
+            await self._take_over(now, reason)
+
+    def _reason_to_take_over(self, now, age_s):
+        """Return why the scheduler is to be replaced now, or an empty text."""
+        view, silent_s = self._view, now - self._silent_since
+        if view.epoch.version and view.beat.value.resigned:
+            return "it has handed over"
+        if view.epoch.version == 0:
+            return "there was none" if silent_s >= self._stagger_s else ""
+        if self._is_stale():
+            return "its last beat is old" if silent_s >= self._stagger_s else ""
         long_enough = silent_s >= TAKEOVER_AFTER_S + self._stagger_s
-        return long_enough and silent_s - age_s >= _SILENCE_SEEN_S
+        if long_enough and silent_s - age_s >= _SILENCE_SEEN_S:
+            return "no beat of it came"
+        return ""
 
     def _is_stale(self):
         """Return whether the store's clock shows the beat to be long past.
@@ -191,7 +195,7 @@
             return False
         return self._rows.store_ms - stamped_ms > _STALE_BEAT_S * 1000
 
-    async def _take_over(self, now):
+    async def _take_over(self, now, reason):
         before = self._view.epoch
         beat_age_s = now - self._view.beat_seen_at
         nonce = f"{self._random.getrandbits(64):016x}"
@@ -217,6 +221,7 @@
             epoch=epoch.number,
             before=before.value.holder,
             beat_age_s=round(beat_age_s, 3),
+            reason=reason,
         )
         self._on_change()
 
--- a/packages/entry/src/samphiredeal/entry/metrics.py
+++ b/packages/entry/src/samphiredeal/entry/metrics.py
@@ -63,6 +63,7 @@
     "call_answered": ("took_ms", 0.001, "call"),
     "run_start": ("took_ms", 0.001, "start"),
     "unit_placed": ("waited_s", 1.0, "wait"),
+    "job_seen": ("unseen_s", 1.0, "unseen"),
     "job_ended": ("storing_s", 1.0, "storing"),
 }
 _COUNTED_FIELDS = ("verb", "answer", "how", "outcome")
@@ -93,6 +94,7 @@
                 ("call", "Time from a caller's call to its answer"),
                 ("start", "Time from an order to start to the worker's answer"),
                 ("wait", "Time for which a unit of work waited for room"),
+                ("unseen", "Time from a job's acceptance until a scheduler saw it"),
                 ("storing", "Time from a job's end until its callers may know"),
             )
         }
--- a/packages/policy/src/samphiredeal/policy/graphs/state.py
+++ b/packages/policy/src/samphiredeal/policy/graphs/state.py
@@ -168,6 +168,8 @@
         self.waits = {}
         # For the log only, counted anew in each term of a scheduler.
         self.longest_wait_s = 0.0
+        # None if a scheduler before this one has seen the job first.
+        self.unseen_s = None
         self.restarts = 0
 
     @property
--- a/tests/test_incident_logs.py
+++ b/tests/test_incident_logs.py
@@ -30,6 +30,31 @@
     assert 0.0 <= line["longest_wait_s"] < 0.5 and line["storing_s"] < 0.5
 
 
+# inc-short, hunt-63b2-7: a job that nobody looked at for 2 s was logged as one that
+# had not waited.
+def test_job_logs_for_how_long_no_scheduler_saw_it(logged):
+    world = make_graph_world()
+    scheduler = world.scheduler()
+    world.kill(scheduler)
+    accepted_at = world.clock.seconds()
+    world.submit("e0" if scheduler != "e0" else "e1", "a1", [STEP])
+    world.run_until(world.scheduler, 5.0)
+    unseen_s = world.clock.seconds() - accepted_at
+    world.run(2.0)
+    (seen,) = logged("job_seen")
+    assert seen["job"] == "a1" and abs(seen["unseen_s"] - unseen_s) < 0.1
+    (ended,) = logged("job_ended")
+    assert ended["unseen_s"] == seen["unseen_s"]
+
+
+def test_takeover_logs_its_reason(logged):
+    world = make_graph_world()
+    world.kill(world.scheduler())
+    world.run_until(world.scheduler, 5.0)
+    lines = logged("scheduler_took_over")
+    assert len(lines) == 2 and all(line["reason"] for line in lines)
+
+
 def test_write_that_is_not_answered_logs_its_reason_and_time(logged):
     world = make_graph_world()
     world.nodes[world.scheduler()].faults.lose_answers = 3
