Watch the scheduler over a link and replace it as soon as it is lost

Cause: the loss of a scheduler showed only by the beat in the store, 0.7 s apart, of which three had to be missing. A killed process closes its connections in the first millisecond; nobody listened to that.

Now up to five entries keep a link to the scheduler and ask it every 0.15 s. A refused connection, or 0.45 s without an answer, is a sign; five agents, drawn anew, are then asked whether they hear it, and most of them decide, so that a cut near one entry replaces nobody. A scheduler that the store turns away says so and is replaced by an entry that hears the store. The beat stays for whatever nobody can tell. Orders leave every 0.4 s instead of 0.5 s, so that agents know sooner.

Ruled out: shortening TAKEOVER_AFTER_S alone, since a store that loses answers delays two beats in a row often enough.

--- a/packages/agent/src/samphiredeal/agent/graphs/node.py
+++ b/packages/agent/src/samphiredeal/agent/graphs/node.py
@@ -10,7 +10,12 @@
 from samphiredeal.agent.graphs.lifeline import Lifeline
 from samphiredeal.platform.table import Committed, Row
 from samphiredeal.wire import orders as coding
-from samphiredeal.wire.messages import WorkOrders, WorkReport
+from samphiredeal.wire.messages import (
+    SchedulerQuery,
+    SchedulerSighting,
+    WorkOrders,
+    WorkReport,
+)
 
 # A report leaves at least this often, so that silence shows.
 REPORT_EVERY_S = 0.8
@@ -91,8 +96,21 @@
             self._scheduler = None
 
     def _on_message(self, link, message):
-        if not isinstance(message, WorkOrders):
-            return
+        if isinstance(message, SchedulerQuery):
+            self._tell_of_scheduler(link)
+        elif isinstance(message, WorkOrders):
+            self._take_orders(link, message)
+
+    def _tell_of_scheduler(self, link):
+        """Tell an entry whether the scheduler is heard here."""
+        sighting = SchedulerSighting(
+            self._lifeline.epoch,
+            self._scheduler is not None,
+            self._lifeline.scheduler_silent_s,
+        )
+        link.send(sighting)
+
+    def _take_orders(self, link, message):
         before = self._lifeline.epoch
         if not self._lifeline.saw_epoch(message.epoch):
             self._send_report(link)
--- a/packages/entry/src/samphiredeal/entry/graphs/leadership.py
+++ b/packages/entry/src/samphiredeal/entry/graphs/leadership.py
@@ -1,8 +1,10 @@
 """Choosing the scheduler: a row with a rising epoch, and a beat beside it.
 
 Taking over needs the epoch row at the version that was known, so only one
-entry wins. Every write of a scheduler depends on the epoch row being its own:
-one that has been replaced without knowing changes nothing any more.
+entry wins. A scheduler is replaced once the watch over its process shows it to be
+lost, or, where nobody can tell, once its beat has been missing. Every write of a
+scheduler depends on the epoch row being its own: one that has been replaced without
+knowing changes nothing any more.
 """
 
 import msgspec
@@ -36,6 +38,9 @@
 _STALE_BEAT_S = 2.5
 # Entries that see the same gap try at different moments.
 _STAGGER_S = 0.25
+# A sound store is heard every 0.5 s; a scheduler that it turns away hears less.
+_PROMPT_S = 0.6
+_TURNED_AWAY_S = 0.7
 # For how long after its last beat a scheduler may still vouch for workers.
 VOUCH_S = 3.0
 
@@ -43,20 +48,21 @@
 class Leadership:
     """This entry's part in the choice of the scheduler."""
 
-    def __init__(self, clock, table, view, rows, name, random, on_change):
+    def __init__(self, clock, table, view, rows, name, random, watch, on_change):
         self._clock = clock
         self._table = table
         self._view = view
         self._rows = rows
         self._name = name
         self._random = random
+        self._watch = watch
         self._on_change = on_change
         self._epoch = 0
         self._condition = None
         self._beats = 0
         self._beat_at = self._beat_due_at = float("-inf")
         self._renewed_at = float("-inf")
-        self._silent_since = clock.seconds()
+        self._silent_since = self._prompt_since = clock.seconds()
         self._stagger_s = random.uniform(0, _STAGGER_S)
         self._busy = False
         self._retired = False
@@ -85,7 +91,7 @@
             if self._epoch:
                 await self._lead()
             else:
-                await self._watch()
+                await self._follow()
         finally:
             self._busy = False
 
@@ -159,9 +165,11 @@
             self._clock, _BEAT_ANSWER_S, self._table.write([condition], [put])
         )
 
-    async def _watch(self):
+    async def _follow(self):
         now = self._clock.seconds()
         age_s = self._rows.age_s
+        if self._rows.unheard_s > _PROMPT_S:
+            self._prompt_since = now
         if age_s > _FRESH_S:
             self._silent_since = now
             return
@@ -179,6 +187,12 @@
             return "there was none" if silent_s >= self._stagger_s else ""
         if self._is_stale():
             return "its last beat is old" if silent_s >= self._stagger_s else ""
+        epoch = view.epoch.value.number
+        if self._watch.is_lost(epoch):
+            return "agents do not hear it either"
+        is_prompt = now - self._prompt_since >= _TURNED_AWAY_S
+        if is_prompt and self._watch.is_turned_away(epoch, _TURNED_AWAY_S):
+            return "the store turns it away"
         long_enough = silent_s >= TAKEOVER_AFTER_S + self._stagger_s
         if long_enough and silent_s - age_s >= _SILENCE_SEEN_S:
             return "no beat of it came"
--- a/packages/entry/src/samphiredeal/entry/graphs/node.py
+++ b/packages/entry/src/samphiredeal/entry/graphs/node.py
@@ -6,6 +6,7 @@
 from twisted.internet.defer import ensureDeferred
 from twisted.internet.task import deferLater
 
+from samphiredeal.entry.graphs import watch
 from samphiredeal.entry.graphs.daytime import SAMPLE_EVERY_S, TimeOfDay
 from samphiredeal.entry.graphs.dispatcher import Dispatcher
 from samphiredeal.entry.graphs.follower import Follower
@@ -14,10 +15,12 @@
 from samphiredeal.entry.graphs.leadership import Leadership
 from samphiredeal.entry.graphs.operations import OperationsView
 from samphiredeal.entry.graphs.relay import Relay
+from samphiredeal.entry.graphs.watch import SchedulerWatch
 from samphiredeal.entry.graphs.witness import WitnessedTable
 from samphiredeal.entry.graphs.work import WorkView
 from samphiredeal.entry.periodic import Periodic
 from samphiredeal.model.timing import lease_wait_s
+from samphiredeal.wire.messages import Ask, SchedulerQuery, SchedulerSign
 
 # How long a call for changes waits at the store; also how often knowledge is
 # confirmed when nothing changes.
@@ -94,6 +97,7 @@
         self._work_rows = Follower(
             clock, table, "work", _WORK_WAIT_S, _WORK_PAUSE_S, self._work_changed
         )
+        self._watch = SchedulerWatch(clock, name, connect, self._view, random)
         self._leadership = Leadership(
             clock,
             table,
@@ -101,6 +105,7 @@
             self._work_rows,
             name,
             random,
+            self._watch,
             self._leadership_changed,
         )
         self._relay = Relay(
@@ -185,13 +190,21 @@
             ensureDeferred(follower.run()).addErrback(_log_failure)
         ensureDeferred(self._relay.announce()).addErrback(_log_failure)
         self._periodic.every(SAMPLE_EVERY_S, self._time_of_day.sample)
+        self._periodic.every(watch.ASK_EVERY_S, self._watch.tick)
         self._periodic.every_coroutine(
             _LEADER_TICK_S, "leadership", self._leadership.tick
         )
 
     def accept(self, link):
         """Take a link that another entry has opened."""
-        self._relay.accept(link)
+        link.on_message = self._on_message
+
+    def _on_message(self, link, message):
+        if isinstance(message, Ask):
+            self._relay.answer(link, message)
+        elif isinstance(message, SchedulerQuery):
+            unheard_s = self._work_rows.unheard_s
+            link.send(SchedulerSign(self._leadership.epoch, unheard_s))
 
     async def drain(self):
         """Stop as planned: hand over, let callers go, finish what is answered."""
@@ -210,6 +223,7 @@
         """Stop at once."""
         self._periodic.stop()
         self._relay.stop()
+        self._watch.stop()
         self._operator_rows.stop()
         self._work_rows.stop()
         if self._dispatcher is not None:
--- a/packages/entry/src/samphiredeal/entry/graphs/relay.py
+++ b/packages/entry/src/samphiredeal/entry/graphs/relay.py
@@ -125,12 +125,9 @@
 
     # Answering for others
 
-    def accept(self, link):
-        """Take a link that another entry has opened."""
-        link.on_message = self._on_message
-
-    def _on_message(self, link, message):
-        if not isinstance(message, Ask) or message.topic != _TOPIC:
+    def answer(self, link, message):
+        """Answer a call that another entry has passed on in an `Ask`."""
+        if message.topic != _TOPIC:
             return
         try:
             call = msgspec.msgpack.decode(message.document, type=Call)
--- a/packages/entry/src/samphiredeal/entry/graphs/sessions.py
+++ b/packages/entry/src/samphiredeal/entry/graphs/sessions.py
@@ -21,7 +21,7 @@
 # Silence after which the worker is given up and its leases are waited out.
 EVICT_AFTER_S = 2.5
 # Orders leave at least this often: they answer reports, which trust rests on.
-_ORDERS_EVERY_S = 0.5
+_ORDERS_EVERY_S = 0.4
 # Pauses between tries, short against the silence that they end.
 _RECONNECT_S = 0.3
 _EVICT_RETRY_S = 0.3
--- a/packages/wire/src/samphiredeal/wire/messages.capnp
+++ b/packages/wire/src/samphiredeal/wire/messages.capnp
@@ -37,6 +37,9 @@
     askReply @31 :AskReply;
     workOrders @32 :WorkOrders;
     workReport @33 :WorkReport;
+    schedulerQuery @34 :SchedulerQuery;
+    schedulerSign @35 :SchedulerSign;
+    schedulerSighting @36 :SchedulerSighting;
   }
 }
 
@@ -260,3 +263,18 @@
   number @1 :UInt64;
   body @2 :Data;
 }
+
+struct SchedulerQuery {
+  epoch @0 :UInt64;
+}
+
+struct SchedulerSign {
+  epoch @0 :UInt64;
+  storeUnheardS @1 :Float64;
+}
+
+struct SchedulerSighting {
+  epoch @0 :UInt64;
+  linked @1 :Bool;
+  silentS @2 :Float64;
+}
--- a/packages/wire/src/samphiredeal/wire/messages.py
+++ b/packages/wire/src/samphiredeal/wire/messages.py
@@ -308,3 +308,31 @@
     epoch: int
     number: int
     body: bytes
+
+
+class SchedulerQuery(NamedTuple):
+    """Is the scheduler of `epoch` alive? Asked of itself, and of agents."""
+
+    epoch: int
+
+
+class SchedulerSign(NamedTuple):
+    """An entry's answer: the epoch that it holds, 0 if none.
+
+    `store_unheard_s` is how long ago the store last answered it, in seconds.
+    """
+
+    epoch: int
+    store_unheard_s: float
+
+
+class SchedulerSighting(NamedTuple):
+    """An agent's answer: the newest epoch that it knows, and how well it hears it.
+
+    `linked` says that the connection is open, `silent_s` is how long ago the
+    scheduler last answered a report, in seconds.
+    """
+
+    epoch: int
+    linked: bool
+    silent_s: float
