Notice within half a second that short work stands on a hung worker

Cause: a run counted as standing still after three looks and 1.5 s, whatever its length. A look that waits for an end is answered 0.8 s later, so three of them took 2.5 s, while work of 2 s may lose 1.2 s. A new scheduler knew nothing of stalls before its term, urgent work stayed where it was if no other place was free, and the stall of a gang was blamed on whichever of its workers came first.

Now agents look 0.25, 0.5 and 0.75 s after a start and every 0.25 s while a run makes no progress, and report for how long and in how many looks it has stood still. Work is judged after a fifth of its estimate (0.4 to 1.5 s, 8% of longer estimates as before), counted from the last member of a gang. Urgent work leaves at once and may make room elsewhere. Workers on which another run has gone on meanwhile are not blamed.

--- a/packages/agent/src/samphiredeal/agent/graphs/keeper.py
+++ b/packages/agent/src/samphiredeal/agent/graphs/keeper.py
@@ -5,6 +5,8 @@
 answered settles a run that is not listed: the worker refuses it from then on.
 """
 
+from typing import NamedTuple
+
 from eliot import log_message, write_traceback
 from twisted.internet.defer import ensureDeferred
 from twisted.internet.task import deferLater
@@ -17,6 +19,12 @@
 # A look waits this long for a run to end; it also sets how often leases are
 # extended and progress is reported.
 LOOK_WAIT_S = 0.8
+# The same while a run makes no progress: work of 2 s that is started on a worker that
+# hangs can end in time elsewhere if that shows within half a second.
+_STILL_WAIT_S = 0.25
+# How long after a start the worker is looked at beside the look that waits.
+_FIRST_LOOKS_S = (0.25, 0.5, 0.75)
+_DONE_PERCENT = 99
 # The same while leases may not be extended, so that regained trust counts at once.
 _UNTRUSTED_WAIT_S = 0.1
 # A start that the worker has not taken in by then is refused by it as late.
@@ -46,6 +54,14 @@
         self.sure_after = None
 
 
+class _Progress(NamedTuple):
+    """The percentage of a run, since when it is the same, and in how many looks."""
+
+    percent: int
+    since: float
+    still_looks: int = 0
+
+
 class _Stop:
     """An order to stop that is not settled yet."""
 
@@ -77,6 +93,8 @@
         self._refused = {}
         self._stopped = False
         self._extending = None
+        self._progress = {}
+        self._first_looks = set()
 
     @property
     def facts(self):
@@ -88,7 +106,7 @@
         listed = set()
         running, ended = (), ()
         if self._look is not None:
-            running = self._look.running
+            running = tuple(self._with_progress(one) for one in self._look.running)
             ended = tuple(
                 end for end in self._look.ended if end.number > self._ends_recorded
             )
@@ -151,6 +169,7 @@
         self._dead_signs = 0
         for entries in (self._starts, self._started, self._stops, self._refused):
             entries.clear()
+        self._progress = {}
 
     # What the scheduler wants
 
@@ -204,6 +223,7 @@
             if isinstance(answer, Started):
                 del self._starts[run]
                 self._started[run] = self._clock.seconds()
+                self._look_soon()
                 self._log_start(run, epoch, "started", began_at)
                 self._on_change()
                 return
@@ -292,7 +312,7 @@
         self._note_trust(trusted)
         deadline_ms, wait_s = None, 0.0
         if self._worker_clock is not None:
-            wait_s = LOOK_WAIT_S if trusted else _UNTRUSTED_WAIT_S
+            wait_s = self._look_wait_s() if trusted else _UNTRUSTED_WAIT_S
             if trusted:
                 deadline_ms = self._worker_now_ms() + int(self._lease_max_s * 1000)
         began_at = self._clock.seconds()
@@ -308,6 +328,35 @@
         self._no_look(answer, facts)
         return _RETRY_S
 
+    def _look_wait_s(self):
+        """Return how long to wait for an end; short while a run stands still."""
+        still = any(
+            one.still_looks and one.percent < _DONE_PERCENT
+            for one in self._progress.values()
+        )
+        return _STILL_WAIT_S if still else LOOK_WAIT_S
+
+    def _look_soon(self):
+        """Look again soon after a start; a look that waits tells of ends only."""
+        for delay_s in _FIRST_LOOKS_S:
+            if delay_s not in self._first_looks:
+                self._first_looks.add(delay_s)
+                self._clock.callLater(delay_s, self._first_look, delay_s)
+
+    def _first_look(self, delay_s):
+        self._first_looks.discard(delay_s)
+        if self._facts is not None and not self._stopped:
+            ensureDeferred(self._look_beside(self._facts)).addErrback(_log_failure)
+
+    async def _look_beside(self, facts):
+        began_at = self._clock.seconds()
+        answer = await self._calls.hold(
+            self._lifeline.epoch, self._ends_recorded, None, 0.0
+        )
+        same_life = self._facts is not None and self._facts.life == facts.life
+        if same_life and isinstance(answer, Look):
+            self._take_look(answer, began_at)
+
     def _note_trust(self, trusted):
         if trusted != self._extending:
             self._extending = trusted
@@ -339,12 +388,41 @@
             self._look = None
             self._on_change()
             return
+        if self._worker_clock is not None and look.clock_ms < self._worker_clock[0]:
+            # Overtaken by a newer look on another connection.
+            return
         self._worker_clock = (look.clock_ms, self._clock.seconds())
         self._look, self._looked_at = look, self._clock.seconds()
+        self._note_progress()
         self._looks += 1
         self._settle(began_at)
         self._on_change()
 
+    def _note_progress(self):
+        """Note which runs have gone on since the look before this one."""
+        known, self._progress = self._progress, {}
+        for one in self._look.running:
+            run = RunId(one.task, one.run)
+            before = known.get(run)
+            if before is None:
+                # Runs begin at 0, also those that resume.
+                since = self._started.get(run, self._looked_at)
+                before = _Progress(0, since)
+            if one.percent != before.percent:
+                self._progress[run] = _Progress(one.percent, self._looked_at)
+            else:
+                looks = before.still_looks + 1
+                self._progress[run] = before._replace(still_looks=looks)
+
+    def _with_progress(self, running):
+        progress = self._progress.get(RunId(running.task, running.run))
+        if progress is None or not progress.still_looks:
+            return running
+        still_s = self._looked_at - progress.since
+        return running._replace(
+            still_ms=int(still_s * 1000), still_looks=progress.still_looks
+        )
+
     def _settle(self, began_at):
         """Close what a look that began at this time makes certain."""
         running = {(one.task, one.run) for one in self._look.running}
--- a/packages/agent/tests/test_keeper.py
+++ b/packages/agent/tests/test_keeper.py
@@ -177,3 +177,31 @@
     bench = Bench(seconds=1.0).order([1]).run(3.0)
     bench.order(ends_recorded=recorded).run(1.0)
     assert len(bench.keeper.report().ended) == 1 - recorded
+
+
+# inc-short, hunt-13e8-39: a worker that had hung was looked at every 0.8 s, so that
+# three looks without progress took 2.5 s.
+@pytest.mark.parametrize("hang, looks", [(True, (5, 8)), (False, (2, 4))])
+def test_runs_without_progress_are_looked_at_more_often(hang, looks):
+    bench = Bench().order([1]).run(1.0)
+    bench.worker.faults.hang = hang
+    bench.run(1.0)
+    before = bench.keeper.report().looks
+    bench.run(2.0)
+    assert looks[0] <= bench.keeper.report().looks - before <= looks[1]
+
+
+# inc-short, hunt-13e8-39: the look that was waiting as a run began came back 0.8 s
+# later, so that a hang took a second to show.
+def test_run_that_hangs_from_the_start_shows_within_half_a_second():
+    bench = Bench().run(1.0)
+    bench.worker.faults.hang = True
+    bench.order([1]).run(0.55)
+    (running,) = bench.keeper.report().running
+    assert running.still_looks >= 2 and running.still_ms >= 400
+
+
+def test_run_that_goes_on_is_not_reported_as_standing_still():
+    bench = Bench().order([1]).run(2.0)
+    (running,) = bench.keeper.report().running
+    assert running.still_looks == 0 and running.percent > 0
--- a/packages/model/src/samphiredeal/model/runs.py
+++ b/packages/model/src/samphiredeal/model/runs.py
@@ -36,7 +36,8 @@
 
 class Running(NamedTuple):
     """A run that a worker lists. `usage` is rough: processors in use, or the
-    tail latency in milliseconds of a task that serves.
+    tail latency in milliseconds of a task that serves. Its agent adds for how long
+    and in how many looks the run has made no progress.
     """
 
     task: str
@@ -44,6 +45,8 @@
     checkpoint: str
     percent: int
     usage: int = 0
+    still_ms: int = 0
+    still_looks: int = 0
 
 
 class Ended(NamedTuple):
--- a/packages/policy/src/samphiredeal/policy/graphs/health.py
+++ b/packages/policy/src/samphiredeal/policy/graphs/health.py
@@ -14,13 +14,15 @@
 # How long failures count against a worker, in seconds: about as long as the
 # sick spells of executors that the operators report.
 _MEMORY_S = 12.0
-# A run without progress for this long, relative to the time that one percent of
-# it should take, stands still.
-STALL_MIN_S = 1.5
+# A run without one percent of progress for this share of its estimate stands still.
+# Short work is judged after a larger share, since its looks are few, but while it can
+# still be started anew and end in time.
+_STALL_SHARE = 0.08
+_STALL_SHORT_SHARE = 0.2
+_STALL_SHORT_MAX_S = 1.5
+_STALL_MIN_S = 0.4
 # So many looks without progress show that it is not the look that is missing.
-_STALL_LOOKS = 3
-# So many percent of the estimate without one percent of progress.
-_STALL_PERCENTS = 8
+_STALL_LOOKS = 2
 # A run at less than this share of its siblings' speed is worth starting anew
 # elsewhere if most of it is left. Tasks of a step differ by up to six times on
 # sound workers, so only the slowest of the slow stand out.
@@ -105,13 +107,53 @@
 def stands_still(placement):
     """Return whether a run was looked at often enough and shows no progress."""
     unit = placement.unit
-    if placement.running_since is None or unit.spec.lasting or placement.percent >= 99:
+    if unit.spec.lasting or placement.percent >= 99 or not _is_whole(unit):
         return False
     if placement.still_looks < _STALL_LOOKS:
         return False
-    expected_s = unit.estimate_s * _STALL_PERCENTS / 100
-    still_s = placement.seen_at - placement.percent_at
-    return still_s > max(STALL_MIN_S, expected_s)
+    return placement.seen_at - _still_since(placement) > _stall_limit_s(unit)
+
+
+def _is_whole(unit):
+    """Return whether all members are at work; those of a gang wait for the last."""
+    members = unit.placements.values()
+    listed = [one for one in members if one.running_since is not None]
+    return len(listed) == unit.count
+
+
+def _still_since(placement):
+    """Return since when a run makes no progress; a gang begins with its last member."""
+    unit = placement.unit
+    if unit.count == 1 or placement.percent > 0:
+        return placement.percent_at
+    began_at = max(one.running_since for one in unit.placements.values())
+    return max(placement.percent_at, began_at)
+
+
+def _stall_limit_s(unit):
+    """Return for how long a run of the unit may show no progress."""
+    short_s = min(_STALL_SHORT_SHARE * unit.estimate_s, _STALL_SHORT_MAX_S)
+    if unit.checkpoint:
+        # Restoring what was saved makes no progress either.
+        short_s = _STALL_SHORT_MAX_S
+    return max(_STALL_MIN_S, short_s, _STALL_SHARE * unit.estimate_s)
+
+
+def stalled_workers(placement, workers):
+    """Return the names of the workers that may have made a run stand still.
+
+    One member of a gang holds up all; workers on which another run has gone on
+    meanwhile are cleared, unless none would be left.
+    """
+    names = {one.worker for one in placement.unit.placements.values()}
+    since = _still_since(placement)
+    going_on = {
+        name
+        for name in names
+        for other in workers[name].placements.values()
+        if other.unit is not placement.unit and other.percent_at > since
+    }
+    return names - going_on or names
 
 
 def speeds_of(unit):
--- a/packages/policy/src/samphiredeal/policy/graphs/reports.py
+++ b/packages/policy/src/samphiredeal/policy/graphs/reports.py
@@ -32,7 +32,7 @@
         listed.add(RunId(running.task, running.run))
         placement = _absorb_running(state, worker, running, now)
         if placement is not None and new_look:
-            _note_progress(placement, running.percent, looked_at)
+            _note_progress(placement, running, looked_at)
     for ended in report.ended:
         listed.add(RunId(ended.task, ended.run))
         _absorb_end(state, worker, ended, now, notes)
@@ -104,17 +104,21 @@
     return placement
 
 
-def _note_progress(placement, percent, looked_at):
+def _note_progress(placement, running, looked_at):
     """Note what a new look at the worker says of a run's progress."""
     placement.seen_at = looked_at
     if placement.first_look is None:
-        placement.first_look = (looked_at, percent)
-    if percent != placement.percent:
-        placement.percent = percent
+        placement.first_look = (looked_at, running.percent)
+    if running.percent != placement.percent:
+        placement.percent = running.percent
         placement.percent_at = looked_at
         placement.still_looks = 0
     else:
         placement.still_looks += 1
+    if running.still_looks > placement.still_looks:
+        # The agent looked on while another scheduler, or none, was listening.
+        placement.still_looks = running.still_looks
+        placement.percent_at = looked_at - running.still_ms / 1000
 
 
 def _adopt(state, worker, task, run, now):
--- a/packages/policy/src/samphiredeal/policy/graphs/scheduler.py
+++ b/packages/policy/src/samphiredeal/policy/graphs/scheduler.py
@@ -237,8 +237,10 @@
         if movable and self._has_other_place(unit, worker):
             return "its worker is leaving"
         if health.stands_still(placement):
-            health.note_stall(worker, now)
-            if self._has_other_place(unit, worker):
+            for name in health.stalled_workers(placement, self.workers):
+                health.note_stall(self.workers[name], now)
+            # Urgent work may make room elsewhere.
+            if unit.job.urgent or self._has_other_place(unit, worker):
                 return "it stands still"
             return ""
         if self._crawls(placement) and self._has_other_place(unit, worker):
--- a/packages/policy/tests/test_graph_scheduler.py
+++ b/packages/policy/tests/test_graph_scheduler.py
@@ -2,12 +2,18 @@
 
 import pytest
 from graph_bench import Bench, make_workers
-from graph_builders import make_facts, make_record, make_scheduler, make_step
+from graph_builders import (
+    make_facts,
+    make_record,
+    make_report,
+    make_scheduler,
+    make_step,
+)
 
 from samphiredeal.model import runs
 from samphiredeal.model.graph import GraphSpec, fault_of
 from samphiredeal.model.operations import AdviceTerms
-from samphiredeal.model.runs import Refused
+from samphiredeal.model.runs import Refused, Running
 from samphiredeal.policy.graphs import health, records
 from samphiredeal.policy.graphs.state import COMPLETED, FAILED
 
@@ -243,6 +249,106 @@
     assert bench.places("a") != first
 
 
+# inc-short, hunt-13e8-39, hunt-63b2-7: urgent work of 2 s stood on a worker that had
+# hung for 2.5 s before it was started elsewhere, and ended late.
+def test_short_run_that_stands_still_moves_while_it_can_end_in_time():
+    bench = Bench(make_workers())
+    bench.add(make_record("a", [make_step(estimate_ms=2000)], priority=0))
+    bench.step()
+    (first,) = bench.places("a")
+    bench.percent[(first, "a.0.0.0")] = 0
+    bench.step(0.3).step(0.3).step(0.3).step(0.05)
+    assert bench.places("a") and bench.places("a") != [first]
+
+
+def test_urgent_run_that_stands_still_displaces_others_if_all_room_is_taken():
+    bench = Bench(make_workers(2))
+    bench.add(make_record("b", [make_step(1, 8, estimate_ms=20_000)]))
+    bench.step()
+    (other,) = bench.places("b")
+    bench.add(make_record("a", [make_step(1, 8, estimate_ms=2000)], priority=0))
+    bench.step(0.1)
+    (first,) = bench.places("a")
+    bench.percent[(first, "a.0.0.0")] = 0
+    for _ in range(5):
+        bench.step(0.3)
+    assert bench.places("a") == [other]
+
+
+def test_slow_run_is_no_run_that_stands_still():
+    bench = Bench(make_workers())
+    bench.add(make_record("a", [make_step(estimate_ms=2000)], priority=0))
+    bench.step()
+    (first,) = bench.places("a")
+    for look in range(1, 8):
+        bench.percent[(first, "a.0.0.0")] = look
+        bench.step(0.3)
+    assert bench.places("a") == [first]
+
+
+def test_resumed_run_is_given_the_time_to_restore():
+    bench = Bench(make_workers())
+    step = make_step(estimate_ms=2000, checkpointing=True)
+    bench.add(make_record("a", [step], priority=0))
+    bench.step()
+    (first,) = bench.places("a")
+    bench.end(first, "a.0.0.0", 1, runs.STOPPED, "saved")
+    bench.step(0.1)
+    (second,) = bench.places("a")
+    bench.percent[(second, "a.0.0.0")] = 50
+    bench.step(0.3).step(0.3).step(0.3)
+    assert bench.places("a") == [second]
+
+
+def test_gang_whose_members_are_not_all_listed_does_not_stand_still():
+    bench = Bench(make_workers(2))
+    step = make_step(2, 8, estimate_ms=2000, gang=True)
+    bench.add(make_record("a", [step], priority=0))
+    bench.step()
+    missing = bench.running["w1"].popitem()
+    for name in bench.facts:
+        for index in range(2):
+            bench.percent[(name, f"a.0.0.{index}")] = 0
+    bench.step(0.3).step(0.3).step(0.3)
+    assert not [w for w in bench.scheduler.workers.values() if w.stalled_at]
+    bench.running["w1"][missing[0]] = missing[1]
+
+
+def test_stall_of_a_gang_is_not_blamed_on_a_worker_where_others_go_on():
+    bench = Bench(make_workers(2))
+    step = make_step(2, 4, estimate_ms=2000, gang=True, spread_limit=1)
+    bench.add(make_record("a", [step], priority=0))
+    bench.add(make_record("b", [make_step(2, 1, spread_limit=1)]))
+    bench.step()
+    for look in range(5):
+        for name in bench.facts:
+            for task, _run in bench.running[name]:
+                hung = task.startswith("a") or name == "w1"
+                bench.percent[(name, task)] = 0 if hung else 10 * look
+        bench.step(0.3)
+    workers = bench.scheduler.workers
+    assert workers["w1"].stalled_at is not None and workers["w0"].stalled_at is None
+
+
+# inc-short, hunt-63b2-7: a scheduler that had just taken over placed urgent work on a
+# worker whose runs had stood still for a while.
+def test_scheduler_that_took_over_learns_of_a_stall_from_the_first_report():
+    bench = Bench(make_workers(2))
+    bench.add(make_record("a", [make_step(estimate_ms=20_000)]))
+    bench.step()
+    (sick,) = bench.places("a")
+    ((task, run),) = bench.running[sick]
+    still = Running(task, run, "", 40, still_ms=2500, still_looks=5)
+    bench.looks += 1
+    report = make_report(bench.facts[sick], running=(still,), looks=bench.looks)
+    bench.scheduler.absorb(sick, report, bench.now)
+    bench.scheduler.add_job(make_record("b", priority=0), None, bench.now)
+    bench.scheduler.plan(bench.now, 0)
+    assert bench.scheduler.workers[sick].stalled_at is not None
+    (unit,) = bench.scheduler.jobs["b"].units.values()
+    assert [one.worker for one in unit.placements.values()] != [sick]
+
+
 def test_run_far_slower_than_its_siblings_moves():
     bench = Bench(make_workers(4))
     bench.add(make_record("a", [make_step(4, 8, estimate_ms=20_000)]))
--- a/tests/test_graph_path.py
+++ b/tests/test_graph_path.py
@@ -290,3 +290,18 @@
     world.nodes["e0"].faults.lose_answers = 0
     world.run(5.0)
     assert world.state("e1", "a1") == "completed"
+
+
+# inc-short, hunt-63b2-7: a slot hold of 2.1 s stood on a hung worker for 2.5 s.
+def test_urgent_work_on_a_worker_that_hangs_is_started_elsewhere_within_a_second():
+    world = make_graph_world()
+    step = {**STEP, "estimated-ms": 2000}
+    for worker in world.workers.values():
+        worker.faults.hang = True
+    world.submit("e0", "a1", [step], "/urgent/")
+    world.run_until(lambda: world.ledger.starts("a1.0.0.0"), 1.0)
+    (first,) = world.ledger.starts("a1.0.0.0")
+    for name, worker in world.workers.items():
+        worker.faults.hang = name == first.worker
+    world.run_until(lambda: len(world.ledger.starts("a1.0.0.0")) == 2, 1.2)
+    assert world.ledger.starts("a1.0.0.0")[1].worker != first.worker
