Price the work that a stop throws away by its progress after a takeover

Cause: lost_work counts from the moment at which this scheduler first saw a run listed.

Now the time worked is at least the progress that the worker tells of, by the estimate.

The test of the policy fails before for one of its two cases.

--- a/packages/policy/src/samphiredeal/policy/graphs/reclaim.py
+++ b/packages/policy/src/samphiredeal/policy/graphs/reclaim.py
@@ -32,7 +32,9 @@
     for placement in unit.placements.values():
         if placement.running_since is None:
             continue
-        worked_s = now - placement.running_since
+        # A scheduler that took over knows of the time before only by the progress.
+        listed_s = now - placement.running_since
+        worked_s = max(listed_s, unit.estimate_s * placement.percent / 100)
         if unit.spec.checkpointing:
             worked_s = min(worked_s, _RESUME_COST_S)
         total_s += worked_s
--- a/packages/policy/tests/test_graph_scheduler.py
+++ b/packages/policy/tests/test_graph_scheduler.py
@@ -349,6 +349,27 @@
     assert [one.worker for one in unit.placements.values()] != [sick]
 
 
+# inc-short, hunt-63b2-7 at 5.09 s: right after a takeover all runs seemed to have just
+# begun, and those that had worked the longest were stopped as readily as others.
+@pytest.mark.parametrize("ahead", ["w0", "w1"])
+def test_scheduler_that_took_over_stops_the_run_that_has_done_the_least(ahead):
+    bench = Bench(make_workers(2))
+    step = make_step(1, 8, estimate_ms=20_000)
+    bench.add(make_record("a", [step]), make_record("b", [step]))
+    bench.step()
+    successor = make_scheduler(bench.facts)
+    for job_id, job in bench.scheduler.jobs.items():
+        progress = records.progress_of(job)
+        successor.add_job(make_record(job_id, [step]), progress, bench.now)
+    bench.scheduler = successor
+    for name in bench.facts:
+        for task, _run in bench.running[name]:
+            bench.percent[(name, task)] = 60 if name == ahead else 5
+    bench.add(make_record("u", [make_step(1, 8)], priority=0))
+    bench.step(0.1).step(0.1).step(0.1)
+    assert bench.places("u") and bench.places("u") != [ahead]
+
+
 def test_run_far_slower_than_its_siblings_moves():
     bench = Bench(make_workers(4))
     bench.add(make_record("a", [make_step(4, 8, estimate_ms=20_000)]))
