--- a/packages/entry/src/samphiredeal/entry/graphs/dispatcher.py
+++ b/packages/entry/src/samphiredeal/entry/graphs/dispatcher.py
@@ -297,6 +297,7 @@
                 state=job.state,
                 reason=job.reason,
                 age_s=round((wall_ms - job.record.accepted_ms) / 1000, 3),
+                objective_s=self._scheduler.objective_s(job, wall_ms),
                 unseen_s=job.unseen_s,
                 longest_wait_s=round(job.longest_wait_s, 3),
                 restarts=job.restarts,
--- a/packages/policy/src/samphiredeal/policy/graphs/scheduler.py
+++ b/packages/policy/src/samphiredeal/policy/graphs/scheduler.py
@@ -152,6 +152,11 @@
                     unit.stored_checkpoint = unit.checkpoint
                     job.dirty = True
 
+    def objective_s(self, job, wall_ms):
+        """Return in how many seconds a job's user expects its end, by estimate."""
+        clock = ordering.Clock(wall_ms, self._share_function())
+        return round(ordering.objective_s(job, clock), 3)
+
     def take_question(self):
         """Return the `Question` that the last plan would ask first, or None."""
         question, self._question = self._question, None
--- a/tests/test_incident_logs.py
+++ b/tests/test_incident_logs.py
@@ -27,6 +27,7 @@
     (line,) = logged("job_ended")
     assert line["job"] == "a1" and line["state"] == "completed"
     assert line["age_s"] >= 1.0 and line["restarts"] == 0
+    assert line["objective_s"] == 4.0
     assert 0.0 <= line["longest_wait_s"] < 0.5 and line["storing_s"] < 0.5
 
 
