--- a/bench/late.py
+++ b/bench/late.py
@@ -21,7 +21,8 @@
 
 import collections
 import json
-import sys
+
+import defopt
 
 CLASSES = (
     "outage",
@@ -70,6 +71,15 @@
         """When the caller's time is over, by its longest patience."""
         return max(until for _, until, _ in self.tries)
 
+    @property
+    def costs(self):
+        """What took the time, in seconds, without what is short."""
+        return {
+            cause: round(seconds, 2)
+            for cause, seconds in self.spent.items()
+            if seconds > _SPENT_MIN_S
+        }
+
 
 class Day:
     """The jobs of a day, and when each entry was up and had the store."""
@@ -212,25 +222,24 @@
                 continue
 
 
-def main(paths):
-    """Print each job that was not served in time, and the share of each class."""
+def main(*paths: str):
+    """Print each job that was not served in time, and the share of each class.
+
+    :param paths: logs of days, each from one play with all logs
+    """
     total = collections.Counter()
     for path in paths:
         with open(path, encoding="utf-8", errors="replace") as lines:
             day = Day(sorted(read(lines), key=lambda event: event[0]))
         for name, job in day.jobs.items():
             found = class_of(job, day)
-            if found is None:
-                continue
-            total[found] += 1
-            spent = {
-                cause: round(s, 2) for cause, s in job.spent.items() if s > _SPENT_MIN_S
-            }
-            print(f"{path} {name} at {job.first_at:.2f} s: {found} {spent}")
+            if found is not None:
+                total[found] += 1
+                print(f"{path} {name} at {job.first_at:.2f} s: {found} {job.costs}")
     for cause in CLASSES:
         if total[cause]:
             print(f"{cause:10} {total[cause]:4} {total[cause] / total.total():6.0%}")
 
 
 if __name__ == "__main__":
-    main(sys.argv[1:])
+    defopt.run(main)
--- a/packages/agent/src/samphiredeal/agent/graphs/keeper.py
+++ b/packages/agent/src/samphiredeal/agent/graphs/keeper.py
@@ -5,12 +5,11 @@
 answered settles a run that is not listed: the worker refuses it from then on.
 """
 
-from typing import NamedTuple
-
 from eliot import log_message, write_traceback
 from twisted.internet.defer import ensureDeferred
 from twisted.internet.task import deferLater
 
+from samphiredeal.agent.graphs.progress import ProgressNotes
 from samphiredeal.model import runs
 from samphiredeal.model.runs import Refused, Report, RunId, Running
 from samphiredeal.model.timing import SLOW_CLOCK
@@ -19,14 +18,13 @@
 # A look waits this long for a run to end; it also sets how often leases are
 # extended and progress is reported.
 LOOK_WAIT_S = 0.8
+# The same while leases may not be extended, so that regained trust counts at once.
+_UNTRUSTED_WAIT_S = 0.1
 # The same while a run makes no progress: work of 2 s that is started on a worker that
 # hangs can end in time elsewhere if that shows within half a second.
 _STILL_WAIT_S = 0.25
 # How long after a start the worker is looked at beside the look that waits.
 _FIRST_LOOKS_S = (0.25, 0.5, 0.75)
-_DONE_PERCENT = 99
-# The same while leases may not be extended, so that regained trust counts at once.
-_UNTRUSTED_WAIT_S = 0.1
 # A start that the worker has not taken in by then is refused by it as late.
 START_VALID_S = 2.5
 # Without an answer a start is sent again after the first, given up after the
@@ -54,14 +52,6 @@
         self.sure_after = None
 
 
-class _Progress(NamedTuple):
-    """The percentage of a run, since when it is the same, and in how many looks."""
-
-    percent: int
-    since: float
-    still_looks: int = 0
-
-
 class _Stop:
     """An order to stop that is not settled yet."""
 
@@ -93,7 +83,7 @@
         self._refused = {}
         self._stopped = False
         self._extending = None
-        self._progress = {}
+        self._progress = ProgressNotes()
         self._first_looks = set()
 
     @property
@@ -106,7 +96,7 @@
         listed = set()
         running, ended = (), ()
         if self._look is not None:
-            running = tuple(self._with_progress(one) for one in self._look.running)
+            running = tuple(self._progress.described(one) for one in self._look.running)
             ended = tuple(
                 end for end in self._look.ended if end.number > self._ends_recorded
             )
@@ -169,7 +159,7 @@
         self._dead_signs = 0
         for entries in (self._starts, self._started, self._stops, self._refused):
             entries.clear()
-        self._progress = {}
+        self._progress.clear()
 
     # What the scheduler wants
 
@@ -330,11 +320,7 @@
 
     def _look_wait_s(self):
         """Return how long to wait for an end; short while a run stands still."""
-        still = any(
-            one.still_looks and one.percent < _DONE_PERCENT
-            for one in self._progress.values()
-        )
-        return _STILL_WAIT_S if still else LOOK_WAIT_S
+        return _STILL_WAIT_S if self._progress.is_any_still else LOOK_WAIT_S
 
     def _look_soon(self):
         """Look again soon after a start; a look that waits tells of ends only."""
@@ -393,36 +379,11 @@
             return
         self._worker_clock = (look.clock_ms, self._clock.seconds())
         self._look, self._looked_at = look, self._clock.seconds()
-        self._note_progress()
+        self._progress.note(look.running, self._started, self._looked_at)
         self._looks += 1
         self._settle(began_at)
         self._on_change()
 
-    def _note_progress(self):
-        """Note which runs have gone on since the look before this one."""
-        known, self._progress = self._progress, {}
-        for one in self._look.running:
-            run = RunId(one.task, one.run)
-            before = known.get(run)
-            if before is None:
-                # Runs begin at 0, also those that resume.
-                since = self._started.get(run, self._looked_at)
-                before = _Progress(0, since)
-            if one.percent != before.percent:
-                self._progress[run] = _Progress(one.percent, self._looked_at)
-            else:
-                looks = before.still_looks + 1
-                self._progress[run] = before._replace(still_looks=looks)
-
-    def _with_progress(self, running):
-        progress = self._progress.get(RunId(running.task, running.run))
-        if progress is None or not progress.still_looks:
-            return running
-        still_s = self._looked_at - progress.since
-        return running._replace(
-            still_ms=int(still_s * 1000), still_looks=progress.still_looks
-        )
-
     def _settle(self, began_at):
         """Close what a look that began at this time makes certain."""
         running = {(one.task, one.run) for one in self._look.running}
--- a/packages/entry/src/samphiredeal/entry/graphs/unsettled.py
+++ b/packages/entry/src/samphiredeal/entry/graphs/unsettled.py
@@ -23,6 +23,8 @@
 
         `answer` is what this try of the call has come to.
         """
+        if call.verb == answers.LOOK:
+            return answer
         self._forget_old()
         key = (call.verb, call.host, call.path)
         if answer.kind == answers.UNSETTLED:
