Let runs wait for a worker that hangs if a new start would take longer

Cause: each run that stood still was started anew as soon as another place was free.

Now a run is started anew only if what that throws away is less than what is left of the longest spell, 8 s; saved work counts as one second. Work that has just begun moves at once as before, and workers on which anything stands still are avoided.

One of the five cases of the test fails before, the one that stays for 2.4 s; the one that stays for 7 s was added with the 8 s.

--- a/packages/policy/src/samphiredeal/policy/graphs/health.py
+++ b/packages/policy/src/samphiredeal/policy/graphs/health.py
@@ -32,6 +32,8 @@
 # How long a worker is avoided after a run stood still there: such spells of
 # workers last about this long.
 _STALL_MEMORY_S = 6.0
+# The longest spells after which runs have gone on.
+_STALL_SPELL_S = 8.0
 
 
 class Failure(NamedTuple):
@@ -114,6 +116,17 @@
     return placement.seen_at - _still_since(placement) > _stall_limit_s(unit)
 
 
+def should_move(placement):
+    """Return whether to start a run that stands still anew, rather than to wait.
+
+    A worker that hangs lets its runs go on after such a spell, so those that have
+    done more than what is left of it are better left alone.
+    """
+    still_s = placement.seen_at - _still_since(placement)
+    left_s = _STALL_SPELL_S - still_s
+    return left_s <= 0 or placement.unsaved_s <= left_s
+
+
 def _is_whole(unit):
     """Return whether all members are at work; those of a gang wait for the last."""
     members = unit.placements.values()
--- a/packages/policy/src/samphiredeal/policy/graphs/reclaim.py
+++ b/packages/policy/src/samphiredeal/policy/graphs/reclaim.py
@@ -6,11 +6,10 @@
 """
 
 from samphiredeal.policy.graphs import fitting
+from samphiredeal.policy.graphs.state import RESUME_COST_S
 
 # What an accelerator counts for beside processors, in cores.
 _ACCELERATOR_CORES = 8
-# Stopping and resuming saved work costs about this long.
-_RESUME_COST_S = 1.0
 # Displacing urgent work of an account beyond its guarantee is a last resort.
 _URGENT_COST = 10.0
 
@@ -32,12 +31,11 @@
     for placement in unit.placements.values():
         if placement.running_since is None:
             continue
-        # A scheduler that took over knows of the time before only by the progress.
-        listed_s = now - placement.running_since
-        worked_s = max(listed_s, unit.estimate_s * placement.percent / 100)
+        worked_s = now - placement.running_since
         if unit.spec.checkpointing:
-            worked_s = min(worked_s, _RESUME_COST_S)
-        total_s += worked_s
+            worked_s = min(worked_s, RESUME_COST_S)
+        # A scheduler that took over knows of the time before only by the progress.
+        total_s += max(worked_s, placement.unsaved_s)
     return _cores(unit) * total_s
 
 
--- a/packages/policy/src/samphiredeal/policy/graphs/scheduler.py
+++ b/packages/policy/src/samphiredeal/policy/graphs/scheduler.py
@@ -245,7 +245,8 @@
             for name in health.stalled_workers(placement, self.workers):
                 health.note_stall(self.workers[name], now)
             # Urgent work may make room elsewhere.
-            if unit.job.urgent or self._has_other_place(unit, worker):
+            has_place = unit.job.urgent or self._has_other_place(unit, worker)
+            if has_place and health.should_move(placement):
                 return "it stands still"
             return ""
         if self._crawls(placement) and self._has_other_place(unit, worker):
--- a/packages/policy/src/samphiredeal/policy/graphs/state.py
+++ b/packages/policy/src/samphiredeal/policy/graphs/state.py
@@ -19,6 +19,8 @@
 ORDERED = "ordered"
 LISTED = "listed"
 
+# Stopping and resuming saved work costs about this long.
+RESUME_COST_S = 1.0
 # A run's speed is judged after it was watched for this long.
 _SPEED_WATCH_S = 4.0
 
@@ -79,6 +81,12 @@
         worked = (self.percent - first_percent) / 100
         return worked * self.unit.estimate_s / watched_s
 
+    @property
+    def unsaved_s(self):
+        """How much work a stop would throw away, by the progress told, in seconds."""
+        done_s = self.unit.estimate_s * self.percent / 100
+        return min(done_s, RESUME_COST_S) if self.unit.spec.checkpointing else done_s
+
     @property
     def task(self):
         """The task's name as a string."""
--- a/packages/policy/tests/test_graph_scheduler.py
+++ b/packages/policy/tests/test_graph_scheduler.py
@@ -275,6 +275,33 @@
     assert bench.places("a") == [other]
 
 
+# inc-short, trouble-3: four runs that had worked for 12 s were stopped after 1.7 s on a
+# worker that hung for 6 s and then went on.
+@pytest.mark.parametrize(
+    "percent, checkpointing, still_s, moves",
+    [
+        (60, False, 2.4, False),
+        (60, False, 7.0, False),
+        (60, False, 9.0, True),
+        (10, False, 2.4, True),
+        (60, True, 2.4, True),
+    ],
+)
+def test_run_waits_for_its_worker_if_a_new_start_would_take_longer(
+    percent, checkpointing, still_s, moves
+):
+    bench = Bench(make_workers())
+    step = make_step(estimate_ms=20_000, checkpointing=checkpointing)
+    bench.add(make_record("a", [step]))
+    bench.step()
+    (first,) = bench.places("a")
+    bench.percent[(first, "a.0.0.0")] = percent
+    for _ in range(round(still_s / 0.3) + 2):
+        bench.step(0.3)
+    assert (bench.places("a") != [first]) is moves
+    assert bench.scheduler.workers[first].stalled_at is not None
+
+
 def test_slow_run_is_no_run_that_stands_still():
     bench = Bench(make_workers())
     bench.add(make_record("a", [make_step(estimate_ms=2000)], priority=0))
