--- a/bench/late.py
+++ b/bench/late.py
@@ -143,7 +143,8 @@
             job.read_at = at
 
     def _on_job_seen(self, at, node, fields):
-        self.jobs[fields["job"]].spent["unseen"] += fields["unseen_s"]
+        # A later scheduler sees a job without progress anew: it has waited for room.
+        self.jobs[fields["job"]].spent.setdefault("unseen", fields["unseen_s"])
 
     def _on_unit_placed(self, at, node, fields):
         spent = self.jobs[fields["job"]].spent
--- a/packages/policy/src/samphiredeal/policy/graphs/state.py
+++ b/packages/policy/src/samphiredeal/policy/graphs/state.py
@@ -176,7 +176,7 @@
         self.waits = {}
         # For the log only, counted anew in each term of a scheduler.
         self.longest_wait_s = 0.0
-        # None if a scheduler before this one has seen the job first.
+        # None if an earlier scheduler has stored progress of the job.
         self.unseen_s = None
         self.restarts = 0
 
--- a/tests/test_late_jobs.py
+++ b/tests/test_late_jobs.py
@@ -102,5 +102,14 @@
     assert class_in(*started(0), *served(5.0, 12.0), *events) == cause
 
 
+def test_job_that_a_second_scheduler_sees_waits_since_the_first():
+    seen = [
+        event(5.1, "job_seen", job="a1", unseen_s=0.01),
+        event(9.0, "job_seen", job="a1", unseen_s=4.0),
+        event(9.1, "unit_placed", job="a1", waited_s=0.2),
+    ]
+    assert class_in(*started(0), *served(5.0, 12.0), *seen) == "room"
+
+
 def test_end_that_waits_for_the_store_is_an_outage():
     assert class_in(*started(0), *served(5.0, 12.0, storing_s=3.0)) == "outage"
