Keep running gangs when the agent of a member restarts

Cause: a restarted agent reports no worker, and so no runs, until the worker's next heartbeat and its first poll.

Change: a report without a worker says nothing about runs; a gang that has been listed whole is no longer judged by its start; an agent that knows no worker gets no orders, which it would ignore. Looking for kin, a worker that ends while its agent restarts kept its runs for ever, since nobody reported their end: they count as lost once their lease has certainly expired.

--- a/packages/entry/src/samphiredeal/entry/graphs/sessions.py
+++ b/packages/entry/src/samphiredeal/entry/graphs/sessions.py
@@ -41,6 +41,8 @@
         self.retry_at = now
         self.last_report_at = None
         self.no_report_since = now
+        # Since when the agent has reported that it knows no worker.
+        self.no_worker_since = None
         self.report = None
         self.report_number = 0
         self.order_number = 0
@@ -99,6 +101,7 @@
             if no_report_s > EVICT_AFTER_S:
                 self._evict(session, now)
             self._fail_if_lease_lapsed(session, now)
+            self._fail_if_worker_missing(session, now)
             if session.failed and no_report_s > _REMOVE_AFTER_S:
                 self._remove_worker(session)
 
@@ -227,6 +230,10 @@
         session.last_report_at = session.no_report_since = now
         session.report = report
         session.report_number = message.number
+        if report.worker is not None:
+            session.no_worker_since = None
+        elif session.no_worker_since is None:
+            session.no_worker_since = now
         incarnation = report.worker.life if report.worker else ""
         if incarnation != session.incarnation:
             session.incarnation = incarnation
@@ -299,3 +306,16 @@
             self._dispatcher.scheduler.mark_worker_failed(
                 session.name, "no response until its lease had expired"
             )
+
+    def _fail_if_worker_missing(self, session, now):
+        """Treat a worker's runs as failed if its agent has not known it for a lease.
+
+        A worker that exits while its agent restarts is never reported as ended: the
+        new agent has not heard from it, and so does not extend its lease either.
+        """
+        since = session.no_worker_since
+        if since is not None and now > since + self._host.lease_wait_s:
+            session.no_worker_since = float("inf")
+            self._dispatcher.scheduler.mark_worker_failed(
+                session.name, "its agent has known no worker until its lease expired"
+            )
--- a/packages/policy/src/samphiredeal/policy/graphs/records.py
+++ b/packages/policy/src/samphiredeal/policy/graphs/records.py
@@ -127,3 +127,4 @@
         placement.status = LISTED
         placement.running_since = now
         placement.percent_at = now
+        placement.unit.note_member_listed()
--- a/packages/policy/src/samphiredeal/policy/graphs/reports.py
+++ b/packages/policy/src/samphiredeal/policy/graphs/reports.py
@@ -234,6 +234,9 @@
 
 def _resend_orders(worker, report, listed, now):
     """Mark starts without an effect in due time to be sent again."""
+    if report.worker is None:
+        # The agent has not polled its worker, so its empty lists say nothing.
+        return
     pending = set(report.pending)
     for placement in worker.placements.values():
         run = RunId(placement.task, placement.run)
--- a/packages/policy/src/samphiredeal/policy/graphs/scheduler.py
+++ b/packages/policy/src/samphiredeal/policy/graphs/scheduler.py
@@ -198,6 +198,9 @@
         """Return (starts, stops) that are due to be sent to a worker's agent."""
         worker = self.workers[worker_name]
         starts, stops = [], []
+        if not worker.reachable:
+            # Its agent would ignore orders for a worker that it does not know.
+            return starts, stops
         for placement in worker.placements.values():
             if not placement.committed or placement.life != worker.life:
                 continue
@@ -287,6 +290,9 @@
         placements = unit.placements.values()
         if len(placements) < unit.count:
             return True
+        if unit.whole_run == unit.run:
+            # A member that was listed once and is not now is ordered again alone.
+            return False
         sent = [p.sent_at for p in placements if p.sent_at is not None]
         if not sent or all(p.status == LISTED for p in placements):
             return False
--- a/packages/policy/src/samphiredeal/policy/graphs/state.py
+++ b/packages/policy/src/samphiredeal/policy/graphs/state.py
@@ -113,6 +113,7 @@
         "spec",
         "step",
         "stored_checkpoint",
+        "whole_run",
     )
 
     def __init__(self, job, occurrence, step, indexes):
@@ -132,6 +133,8 @@
         self.ready_since = None
         # Workers on which capacity is being freed: {worker name: member count}.
         self.claim = {}
+        # The last run of which all members were listed at the same time.
+        self.whole_run = 0
 
     @property
     def key(self):
@@ -158,6 +161,12 @@
         """The estimated duration of a run, in seconds."""
         return max(self.spec.estimate_ms, 1) / 1000
 
+    def note_member_listed(self):
+        """Record the run as whole if all members are listed now."""
+        members = self.placements.values()
+        if len(members) == self.count and all(p.status == LISTED for p in members):
+            self.whole_run = self.run
+
 
 class JobState:
     """An accepted job and its progress."""
