--- a/packages/policy/src/samphiredeal/policy/graphs/reclaim.py
+++ b/packages/policy/src/samphiredeal/policy/graphs/reclaim.py
@@ -14,7 +14,7 @@
 _URGENT_COST_FACTOR = 10.0
 
 
-def _member_cores(unit):
+def member_cores(unit):
     """Return the resources of one member, in cores."""
     shape = unit.spec.shape
     return shape.cpu_milli / 1000 + shape.accelerators * _ACCELERATOR_CORES
@@ -22,7 +22,7 @@
 
 def required_core_s(unit):
     """Return the core-seconds that a unit takes by estimate."""
-    return _member_cores(unit) * unit.count * unit.estimate_s
+    return member_cores(unit) * unit.count * unit.estimate_s
 
 
 def lost_core_s(unit, now):
@@ -36,7 +36,7 @@
             worked_s = min(worked_s, RESUME_COST_S)
         # After a takeover only the progress shows the work done before it.
         total_s += max(worked_s, placement.unsaved_s)
-    return _member_cores(unit) * total_s
+    return member_cores(unit) * total_s
 
 
 def find_victims(unit, workers, may_preempt, remote_allowed, now):
--- a/packages/policy/src/samphiredeal/policy/graphs/reports.py
+++ b/packages/policy/src/samphiredeal/policy/graphs/reports.py
@@ -84,10 +84,14 @@
     unit = placement.unit
     unit.job.dirty = True
     _stop_remaining(unit, "a member of its gang was lost")
-    fields = {"task": placement.task, "run": placement.run}
-    log_entries.append(
-        ("run_lost", {**fields, "worker": worker.name, "reason": reason})
-    )
+    fields = {
+        "task": placement.task,
+        "run": placement.run,
+        "worker": worker.name,
+        "reason": reason,
+        "saved": bool(unit.checkpoint),
+    }
+    log_entries.append(("run_lost", fields))
 
 
 def _apply_running(scheduler, worker, running, now):
@@ -162,6 +166,8 @@
                 "run": ended.run,
                 "worker": worker.name,
                 "how": ended.how,
+                "reason": placement.stopping if is_current else "",
+                "saved": bool(ended.checkpoint),
                 "failures": unit.failures,
             },
         )
--- a/packages/policy/src/samphiredeal/policy/graphs/scheduler.py
+++ b/packages/policy/src/samphiredeal/policy/graphs/scheduler.py
@@ -468,6 +468,7 @@
                     "unit": unit.key,
                     "run": unit.run,
                     "places": places,
+                    "cores": reclaim.member_cores(unit),
                     "waited_s": round(waited_s, 3),
                     "failures": unit.failures,
                     "checkpoint": unit.checkpoint,
