Refuse odd documents where they are read

Cause: another writer's odd entry got past the decoders. An array nested deep raised RecursionError through decode_heartbeat, the executor's client and the callers' decoder; a capacity of 1e308 or below zero was accepted, and failed later in every message between processes; a port out of range left a connection attempt pending for ever; an exception while rows were applied ended the following of the table for good; an answer of the store with a row without a key failed the call.

Change: model.untrusted bounds size and nesting before decoding and checks integers, texts and addresses. All readers of the platform's bytes use it. A row that cannot be read is logged and left out, the others are used; the follower outlives errors of its consumer. Occurrences and amounts of jobs are bounded. A poll that lists 500 completions says nothing about what is missing.

--- a/packages/agent/src/samphiredeal/agent/graphs/run_manager.py
+++ b/packages/agent/src/samphiredeal/agent/graphs/run_manager.py
@@ -124,6 +124,7 @@
             ended,
             tuple(Refused(*run, reason) for run, reason in self._refused.items()),
             tuple(self._pending_starts),
+            self._last_poll is None or self._last_poll.complete,
         )
 
     # Worker status
@@ -419,20 +420,22 @@
         """Resolve pending orders by the last poll, which began at `began_at`."""
         running = {(one.task, one.run) for one in self._last_poll.running}
         listed = running | {(one.task, one.run) for one in self._last_poll.ended}
+        # A run that is not listed may be among the completions that are left out.
+        complete = self._last_poll.complete
         for run in list(self._pending_starts):
             expires_at = self._pending_starts[run].expires_at
             if run in listed:
                 del self._pending_starts[run]
-            elif expires_at is not None and began_at > expires_at:
+            elif complete and expires_at is not None and began_at > expires_at:
                 del self._pending_starts[run]
                 self._refused[run] = runs.UNANSWERED
         for run, started_at in list(self._acknowledged_starts.items()):
-            if run in listed or began_at > started_at:
+            if run in listed or (complete and began_at > started_at):
                 del self._acknowledged_starts[run]
         for run, stop in list(self._pending_stops.items()):
             if stop.answered_at is None or began_at <= stop.answered_at:
                 continue
-            if run not in running:
+            if run not in running and (complete or run in listed):
                 del self._pending_stops[run]
                 if run not in listed:
                     self._pending_starts.pop(run, None)
--- a/packages/entry/src/samphiredeal/entry/graphs/follower.py
+++ b/packages/entry/src/samphiredeal/entry/graphs/follower.py
@@ -3,7 +3,7 @@
 The age of the rows counts from when the last answered call was sent.
 """
 
-from eliot import log_message
+from eliot import log_message, write_traceback
 from twisted.internet.defer import Deferred
 from twisted.internet.task import deferLater
 
@@ -116,12 +116,25 @@
         if answer.store_ms:
             self._store_clock = (answer.store_ms, self._clock.seconds())
         if is_snapshot or answer.rows:
-            self._on_rows(answer.rows, is_snapshot)
+            self._pass_on(answer.rows, is_snapshot)
         self._version = max(self._version or 0, answer.version)
         self._confirmed_at = sent_at
         self._last_response_at = self._clock.seconds()
         return True
 
+    def _pass_on(self, rows, is_snapshot):
+        """Pass rows on; an error there must not end the following of the table."""
+        try:
+            self._on_rows(rows, is_snapshot)
+        except Exception:
+            write_traceback()
+            log_message(
+                message_type="rows_not_applied",
+                table=self._name,
+                version=self._version,
+                rows=len(rows),
+            )
+
     def _request(self, wait_s):
         """Return a Deferred of the changes, or of a snapshot if there is none yet."""
         if self._version is None:
--- a/packages/entry/src/samphiredeal/entry/graphs/work.py
+++ b/packages/entry/src/samphiredeal/entry/graphs/work.py
@@ -10,9 +10,10 @@
 
 from typing import NamedTuple
 
-from eliot import log_message
+from eliot import log_message, write_traceback
 from twisted.internet.defer import Deferred
 
+from samphiredeal.model import untrusted
 from samphiredeal.model.graph import JobRecord
 from samphiredeal.policy.graphs import records
 from samphiredeal.policy.graphs.state import ACTIVE, CANCELLED, FINAL_STATES, QUEUED
@@ -60,7 +61,7 @@
 class EpochRecord(NamedTuple):
     """The holder of the scheduler role; `nonce` distinguishes takeover attempts."""
 
-    number: int
+    number: records.Count
     holder: str
     nonce: str
 
@@ -72,10 +73,10 @@
     an entry that has just started determines the heartbeat's age.
     """
 
-    epoch: int
-    count: int
+    epoch: records.Count
+    count: records.Count
     resigned: bool = False
-    store_ms: int = 0
+    store_ms: records.Count = 0
 
 
 class WorkerRecord(NamedTuple):
@@ -106,6 +107,15 @@
 }
 
 
+def _log_unreadable(row, reason):
+    log_message(
+        message_type="row_unreadable",
+        key=row.key[: untrusted.MAX_TEXT_CHARS],
+        version=row.version,
+        reason=reason[:300],
+    )
+
+
 class WorkView:
     """All rows of the table, decoded; calls `on_change()` after each update."""
 
@@ -143,12 +153,11 @@
             try:
                 self._apply_row(row)
             except ValueError as error:
-                log_message(
-                    message_type="row_unreadable",
-                    key=row.key,
-                    version=row.version,
-                    reason=str(error)[:300],
-                )
+                _log_unreadable(row, str(error))
+            except Exception as error:
+                # One odd row must not keep the others from being applied.
+                write_traceback()
+                _log_unreadable(row, f"{type(error).__name__}: {error}")
         self._on_change()
 
     def _apply_row(self, row):
@@ -173,6 +182,8 @@
             return
         record_type = _RECORD_TYPES.get(prefix + "/")
         value = records.decode(row.value, record_type) if record_type else None
+        if record_type in (WorkerRecord, EntryRecord):
+            untrusted.parse_address(value.address)
         entries[name] = Versioned(value, row.version)
         if name in self._completion_waiters and self.state_of(name) in FINAL_STATES:
             for waiter in self._completion_waiters.pop(name):
--- a/packages/model/src/samphiredeal/model/graph.py
+++ b/packages/model/src/samphiredeal/model/graph.py
@@ -16,6 +16,10 @@
 MAX_STEPS = 200
 MAX_TASKS = 10_000
 MAX_PAYLOAD_BYTES = 4000
+# Above any amount or duration; sums of these still fit into messages.
+MAX_AMOUNT = 10**9
+MAX_TIME_MS = 2**53 - 1
+MAX_TEXT_CHARS = 200
 # Bounds the state kept for a repeated job, which is planned one window at a time.
 MAX_REPEATS = 100_000
 
@@ -122,8 +126,10 @@
         return f"steps: more than {MAX_TASKS} tasks"
     if not 0 <= spec.repeats <= MAX_REPEATS:
         return f"repeats: {spec.repeats} is not 0 to {MAX_REPEATS}"
-    if spec.interval_ms < 0:
-        return f"interval: {spec.interval_ms} is negative"
+    if not 0 <= spec.first_due_ms <= MAX_TIME_MS:
+        return f"first due time: {spec.first_due_ms} is not 0 to {MAX_TIME_MS}"
+    if not 0 <= spec.interval_ms <= MAX_TIME_MS:
+        return f"interval: {spec.interval_ms} is not 0 to {MAX_TIME_MS}"
     for number, step in enumerate(spec.steps):
         error = _step_error(number, step)
         if error:
@@ -134,12 +140,19 @@
 def _step_error(number, step):
     if not 1 <= step.count <= MAX_TASKS:
         return f"count: {step.count} is not 1 to {MAX_TASKS}"
-    if min(step.shape) < 0:
-        return f"shape: {tuple(step.shape)} has a negative amount"
-    if step.estimate_ms < 0:
-        return f"estimate: {step.estimate_ms} is negative"
-    if step.spread_limit < 0:
-        return f"spread limit: {step.spread_limit} is negative"
+    amounts = [("shape", amount) for amount in step.shape]
+    amounts += [
+        ("estimate", step.estimate_ms),
+        ("spread limit", step.spread_limit),
+        ("target latency", step.target_latency_ms),
+        ("tasks away", step.may_be_away),
+    ]
+    for name, amount in amounts:
+        if not 0 <= amount <= MAX_AMOUNT:
+            return f"{name}: {amount} is not 0 to {MAX_AMOUNT}"
+    for text in (step.label, step.data_rack, step.image):
+        if len(text) > MAX_TEXT_CHARS:
+            return f"text: longer than {MAX_TEXT_CHARS} characters"
     for earlier in step.after:
         if not 0 <= earlier < number:
             return f"after: {earlier} is not an earlier step"
--- a/packages/model/src/samphiredeal/model/runs.py
+++ b/packages/model/src/samphiredeal/model/runs.py
@@ -108,7 +108,7 @@
     `worker` is None if no worker is known or it does not respond; `ended_life`
     is the incarnation that certainly runs nothing any more. `pending` are orders
     whose effect is still unknown. `looks` counts polls of the worker; the lists
-    are `look_age_ms` old.
+    are `look_age_ms` old. Unless `complete`, the worker has further completions.
     """
 
     worker: WorkerFacts | None
@@ -119,6 +119,7 @@
     ended: tuple[Ended, ...] = ()
     refused: tuple[Refused, ...] = ()
     pending: tuple[RunId, ...] = ()
+    complete: bool = True
 
 
 class Orders(NamedTuple):
--- a/packages/platform/src/samphiredeal/platform/advice.py
+++ b/packages/platform/src/samphiredeal/platform/advice.py
@@ -4,8 +4,12 @@
 
 import msgspec
 
+from samphiredeal.model import untrusted
 from samphiredeal.platform.table import Unavailable
 
+# A ticket that is valid for longer is asked for again anyway.
+_MAX_VALID_MS = 10**9
+
 
 class Advice(NamedTuple):
     """Tickets by worker id, valid for `valid_s` seconds.
@@ -35,8 +39,15 @@
         if status != 200:
             return Unavailable(f"status {status}", not_applied=True)
         try:
-            fields = msgspec.json.decode(data)
-            tickets = {str(row[0]): str(row[1]) for row in fields["good"]}
-            return Advice(tickets, float(fields["validity-ms"]) / 1000)
-        except (msgspec.DecodeError, KeyError, TypeError, IndexError) as error:
-            return Unavailable(f"unreadable advice: {type(error).__name__}: {error}")
+            fields = untrusted.decode_json(data)
+            tickets = {
+                untrusted.text("id", row[0]): untrusted.text("ticket", row[1])
+                for row in fields["good"]
+            }
+            valid_ms = untrusted.number(
+                "validity-ms", fields["validity-ms"], 0, _MAX_VALID_MS
+            )
+            return Advice(tickets, valid_ms / 1000)
+        except (KeyError, TypeError, IndexError, ValueError) as error:
+            reason = f"unreadable advice: {type(error).__name__}: {error}"
+            return Unavailable(reason[:200])
--- a/packages/platform/src/samphiredeal/platform/callers.py
+++ b/packages/platform/src/samphiredeal/platform/callers.py
@@ -1,13 +1,18 @@
 """Decoding of callers' HTTP requests, and encoding of the answers."""
 
+import math
+
 import msgspec
 
+from samphiredeal.model import untrusted
 from samphiredeal.model.graph import GraphSpec, StepSpec, validation_error
 from samphiredeal.model.shape import Shape
 
 # Ids have 16 characters; the limit allows longer ones and bounds the keys of rows.
 _MAX_ID_CHARS = 64
 _ID_CHARS = set("0123456789abcdefABCDEF")
+# A caller that claims to wait for longer is served as if it waited this long.
+_MAX_WAIT_S = 300.0
 
 
 class BadRequest(ValueError):
@@ -28,22 +33,23 @@
 def wait_limit_s(header, default_s):
     """Return for how many seconds the caller waits for an answer."""
     try:
-        return max(0.0, float(header) / 1000)
+        wait_s = float(header) / 1000
     except (TypeError, ValueError):
         return default_s
+    return default_s if math.isnan(wait_s) else min(max(0.0, wait_s), _MAX_WAIT_S)
 
 
 def decode_job(body):
     """Return the `GraphSpec` in a request's body; raise `BadRequest` if malformed."""
     try:
-        document = msgspec.json.decode(body)
-    except msgspec.DecodeError as error:
+        document = untrusted.decode_json(body)
+    except ValueError as error:
         raise BadRequest(f"body: not JSON: {error}"[:200]) from error
     if not isinstance(document, dict):
         raise BadRequest("body: expected an object")
     steps = document.get("steps")
     if not isinstance(steps, list):
-        raise BadRequest(f"steps: {steps!r} is not a list"[:200])
+        raise BadRequest(f"steps: {repr(steps)[:80]} is not a list")
     spec = GraphSpec(
         payload=_field(document, "spec", str, "", ""),
         steps=tuple(_step(number, step) for number, step in enumerate(steps)),
@@ -60,14 +66,14 @@
 def _step(number, step):
     where = f"steps[{number}]."
     if not isinstance(step, dict):
-        raise BadRequest(f"steps[{number}]: {step!r} is not an object"[:200])
+        raise BadRequest(f"steps[{number}]: {repr(step)[:80]} is not an object")
 
     def get(name, kind, default):
         return _field(step, name, kind, default, where)
 
     after = get("after", list, [])
     if not all(type(earlier) is int for earlier in after):
-        raise BadRequest(f"{where}after: {after!r} is not a list of numbers"[:200])
+        raise BadRequest(f"{where}after: {repr(after)[:80]} is not a list of numbers")
     return StepSpec(
         count=get("count", int, 0),
         shape=Shape(get("cpu", int, 0), get("mem-mb", int, 0), get("gpu", int, 0)),
--- a/packages/platform/src/samphiredeal/platform/client.py
+++ b/packages/platform/src/samphiredeal/platform/client.py
@@ -23,6 +23,7 @@
 from twisted.web.iweb import IAgentEndpointFactory
 from zope.interface import implementer
 
+from samphiredeal.model import untrusted
 from samphiredeal.platform.table import (
     CALL_TIMEOUT_S,
     CHANGES_TIMEOUT_S,
@@ -200,9 +201,11 @@
             # Later pages may be newer. The version of the first makes the caller read
             # the changes since then again.
             if version is None:
-                version, store_ms = answer["ver"], answer.get("now-ms", 0)
+                version, store_ms = answer.get("ver", 0), answer.get("now-ms", 0)
             if not answer.get("has-more") or not page:
                 return Changes(rows, version, store_ms)
+            if page[-1].key < start:
+                return Unavailable("unreadable answer: the rows are out of order")
             start = page[-1].key + "\0"
 
     async def _changes(self, after, wait_s):
@@ -218,7 +221,7 @@
             return body
         if answer[0] == 410:
             return HistoryLost(body.get("ver", after))
-        return Changes(_rows(body), body["ver"], body.get("now-ms", 0))
+        return Changes(_rows(body), body.get("ver", after), body.get("now-ms", 0))
 
     async def _page(self, start, end, limit, timeout_s=CALL_TIMEOUT_S):
         path = (
@@ -248,6 +251,8 @@
             return body
         if answer[0] == 412:
             return _conflict(conditions, _rows(body))
+        if "ver" not in body:
+            return Unavailable("unreadable answer, status 200: ver is missing")
         return Committed({key: body["ver"] for key, _value in puts})
 
 
@@ -293,26 +298,45 @@
     if _status(answer) not in expected:
         return _unavailable(answer)
     try:
-        body = msgspec.json.decode(answer[1])
-    except msgspec.DecodeError as error:
+        body = untrusted.decode_json(answer[1])
+        if not isinstance(body, dict):
+            raise ValueError("not an object")
+        untrusted.integer("ver", body.get("ver", 0))
+        untrusted.integer("now-ms", body.get("now-ms", 0))
+        if not isinstance(body.get("rows", []), list):
+            raise ValueError("rows: not a list")
+    except ValueError as error:
         return Unavailable(f"unreadable answer, status {answer[0]}: {error}"[:200])
-    if not isinstance(body, dict):
-        return Unavailable(f"unreadable answer, status {answer[0]}: not an object")
     return body
 
 
 def _rows(body):
-    """Return the rows of an answer; a deleted row has version 0."""
+    """Return the rows of an answer; a deleted row has version 0.
+
+    An unreadable row is left out.
+    """
     rows = []
     for fields in body.get("rows", ()):
-        if fields.get("deleted"):
-            rows.append(Row(fields["key"]))
-        else:
-            value = base64.b64decode(fields.get("value", ""))
-            rows.append(Row(fields["key"], fields["ver"], value))
+        try:
+            rows.append(_row(fields))
+        except (KeyError, TypeError, ValueError, AttributeError) as error:
+            log_message(
+                message_type="store_row_unreadable",
+                reason=f"{type(error).__name__}: {error}"[:200],
+            )
     return rows
 
 
+def _row(fields):
+    key = fields["key"]
+    if not isinstance(key, str):
+        raise ValueError("key: not a string")
+    if fields.get("deleted"):
+        return Row(key)
+    value = base64.b64decode(fields.get("value", ""))
+    return Row(key, untrusted.integer("ver", fields["ver"]), value)
+
+
 def _conflict(conditions, rows):
     """Return a `Conflict` with the first row that violated a condition."""
     found = {row.key: row for row in rows}
--- a/packages/platform/src/samphiredeal/platform/executor.py
+++ b/packages/platform/src/samphiredeal/platform/executor.py
@@ -4,7 +4,7 @@
 
 import msgspec
 
-from samphiredeal.model import runs
+from samphiredeal.model import runs, untrusted
 from samphiredeal.model.runs import Ended, Refused, Running, WorkerFacts
 from samphiredeal.model.shape import Shape
 from samphiredeal.platform.table import Unavailable
@@ -30,21 +30,34 @@
 # The inverse, for simulated workers.
 REFUSAL_REASON_NAMES = {reason: name for name, reason in _REFUSAL_REASONS.items()}
 _LEAVING_STATE = "draining"
+# A completion beyond this many is listed only once earlier ones are recorded.
+_MAX_LISTED_COMPLETIONS = 500
+# Bounds of what a worker says of itself: far above any worker, and small enough for
+# every message and sum in which they are used.
+_MAX_CPU_MILLI = 10**9
+_MAX_MEMORY_MB = 10**9
+_MAX_ACCELERATORS = 10**5
+_MAX_LABELS = 64
+_MAX_LEAVING_MS = 10**9
 
 
 class PollResult(NamedTuple):
-    """The worker's lists of runs; `clock_ms` is its own monotonic clock."""
+    """The worker's lists of runs; `clock_ms` is its own monotonic clock.
+
+    If not `complete`, the worker may have further completions.
+    """
 
     clock_ms: int
     born_ms: int
     running: tuple
     ended: tuple
+    complete: bool = True
 
 
 class Started(NamedTuple):
-    """The run has started; `clock_ms` is the worker's clock."""
+    """The run has started; `clock_ms` is the worker's clock, or 0 if not given."""
 
-    clock_ms: int
+    clock_ms: int = 0
 
 
 class ExecutorClient:
@@ -74,10 +87,10 @@
             return answer
         status, fields = answer
         if status == 200:
-            return Started(int(fields.get("clock-ms", 0)))
+            return Started(_clock_ms(fields))
         reason = {400: runs.MALFORMED, 429: runs.UNHEALTHY, 503: runs.UNHEALTHY}.get(
             status
-        ) or _REFUSAL_REASONS.get(fields.get("reason"))
+        ) or _REFUSAL_REASONS.get(str(fields.get("reason"))[:40])
         if reason is None:
             return Unavailable(f"status {status}")
         return Refused(order.task, order.run, reason)
@@ -107,11 +120,13 @@
             return answer
         status, fields = answer
         if status != 200:
-            return Unavailable(f"status {status}: {fields.get('reason', '')}")
+            reason = str(fields.get("reason", ""))[:40]
+            return Unavailable(f"status {status}: {reason}")
         try:
             return _poll_result(fields)
         except (KeyError, TypeError, ValueError, IndexError) as error:
-            return Unavailable(f"unreadable lists: {type(error).__name__}: {error}")
+            reason = f"unreadable lists: {type(error).__name__}: {error}"
+            return Unavailable(reason[:200])
 
     async def _post(self, path, body, timeout_s):
         answer = await self._http.call(
@@ -121,36 +136,50 @@
             return answer
         status, data = answer
         try:
-            fields = msgspec.json.decode(data) if data else {}
-        except msgspec.DecodeError as error:
+            fields = untrusted.decode_json(data) if data else {}
+        except ValueError as error:
             return Unavailable(f"unreadable answer: {error}"[:200])
         return status, fields if isinstance(fields, dict) else {}
 
 
+def _clock_ms(fields):
+    try:
+        return untrusted.integer("clock-ms", fields.get("clock-ms", 0))
+    except ValueError:
+        # The run has started all the same; polls tell the clock.
+        return 0
+
+
 def _poll_result(fields):
+    ended = tuple(_ended(row) for row in fields["ended"])
     return PollResult(
-        clock_ms=int(fields["clock-ms"]),
-        born_ms=int(fields.get("born", 0)),
-        running=tuple(
-            Running(
-                str(row[0]),
-                int(row[1]),
-                str(row[2] or ""),
-                int(row[3]),
-                int(row[4]) if len(row) > 4 else 0,
-            )
-            for row in fields["running"]
-        ),
-        ended=tuple(
-            Ended(
-                int(row[0]),
-                str(row[1]),
-                int(row[2]),
-                _COMPLETIONS.get(row[3], runs.STOPPED),
-                str(row[4] or ""),
-            )
-            for row in fields["ended"]
-        ),
+        clock_ms=untrusted.integer("clock-ms", fields["clock-ms"]),
+        born_ms=untrusted.integer("born", fields.get("born", 0)),
+        running=tuple(_running(row) for row in fields["running"]),
+        ended=ended,
+        complete=len(ended) < _MAX_LISTED_COMPLETIONS,
+    )
+
+
+def _running(row):
+    task, run, checkpoint, percent, *usage = row
+    return Running(
+        untrusted.text("task", task),
+        untrusted.integer("run", run),
+        untrusted.text("saved", checkpoint or ""),
+        int(untrusted.number("percent", percent, 0, 100)),
+        int(untrusted.number("usage", usage[0])) if usage else 0,
+    )
+
+
+def _ended(row):
+    number, task, run, how, checkpoint = row[:5]
+    return Ended(
+        untrusted.integer("number", number),
+        untrusted.text("task", task),
+        untrusted.integer("run", run),
+        _COMPLETIONS.get(untrusted.text("how", how), runs.STOPPED),
+        untrusted.text("saved", checkpoint or ""),
     )
 
 
@@ -163,29 +192,49 @@
 
 def decode_heartbeat(worker_id, body):
     """Return the `HeartbeatFields` in a body; raise ValueError if unreadable."""
-    try:
-        document = msgspec.json.decode(body)
-        capacity = document.get("capacity") or {}
-        state = document["state"]
-        if state not in ("ready", _LEAVING_STATE):
-            raise ValueError(f"state: {state!r} is unknown")
-        facts = WorkerFacts(
-            id=worker_id,
-            born_ms=_integer(document, "born", 0),
-            service=_string(document, "service"),
-            zone=_string(document, "zone"),
-            capacity=Shape(
-                _integer(capacity, "cpu", 0),
-                _integer(capacity, "mem-mb", 0),
-                _integer(capacity, "gpu", 0),
-            ),
-            labels=tuple(str(label) for label in document.get("labels", ())),
-            leaving=state == _LEAVING_STATE,
-            leaving_in_ms=_integer(document, "remaining-ms", 0),
+    document = untrusted.decode_json(body)
+    if not isinstance(document, dict):
+        raise ValueError("expected an object")
+    state = untrusted.text("state", document.get("state"))
+    if state not in ("ready", _LEAVING_STATE):
+        raise ValueError(f"state: {state!r} is unknown")
+
+    def integer(name, high=untrusted.MAX_INTEGER):
+        return untrusted.integer(name, document.get(name, 0), 0, high)
+
+    facts = WorkerFacts(
+        id=untrusted.text("id", worker_id),
+        born_ms=integer("born"),
+        service=untrusted.text("service", document.get("service")),
+        zone=untrusted.text("zone", document.get("zone")),
+        capacity=_capacity(document.get("capacity") or {}),
+        labels=_labels(document.get("labels", [])),
+        leaving=state == _LEAVING_STATE,
+        leaving_in_ms=integer("remaining-ms", _MAX_LEAVING_MS),
+    )
+    return HeartbeatFields(facts, integer("sequence"))
+
+
+def _capacity(fields):
+    if not isinstance(fields, dict):
+        raise ValueError("capacity: expected an object")
+    bounds = {
+        "cpu": _MAX_CPU_MILLI,
+        "mem-mb": _MAX_MEMORY_MB,
+        "gpu": _MAX_ACCELERATORS,
+    }
+    return Shape(
+        *(
+            untrusted.integer(f"capacity.{name}", fields.get(name, 0), 0, high)
+            for name, high in bounds.items()
         )
-        return HeartbeatFields(facts, _integer(document, "sequence", 0))
-    except (msgspec.DecodeError, KeyError, TypeError, AttributeError) as error:
-        raise ValueError(f"heartbeat: {type(error).__name__}: {error}") from error
+    )
+
+
+def _labels(labels):
+    if not isinstance(labels, list) or len(labels) > _MAX_LABELS:
+        raise ValueError(f"labels: expected a list of at most {_MAX_LABELS}")
+    return tuple(untrusted.text("labels", label) for label in labels)
 
 
 def encode_heartbeat(facts, sequence):
@@ -203,19 +252,3 @@
             "sequence": sequence,
         }
     )
-
-
-def _integer(document, name, default):
-    value = document.get(name, default)
-    if type(value) is float and value.is_integer():
-        value = int(value)
-    if type(value) is not int:
-        raise ValueError(f"{name}: {value!r} is not an integer")
-    return value
-
-
-def _string(document, name):
-    value = document[name]
-    if not isinstance(value, str):
-        raise ValueError(f"{name}: {value!r} is not a string")
-    return value
--- a/packages/platform/src/samphiredeal/platform/operator.py
+++ b/packages/platform/src/samphiredeal/platform/operator.py
@@ -1,7 +1,6 @@
 """Decoding of the rows that the operator writes."""
 
-import msgspec
-
+from samphiredeal.model import untrusted
 from samphiredeal.model.operations import AdviceTerms, ClientAccount, Operations, Queue
 
 # The table that only the operator writes.
@@ -13,21 +12,21 @@
 def decode_operations(value):
     """Return the `Operations` in a row's value; raise ValueError if unreadable."""
     try:
-        document = msgspec.json.decode(value)
+        document = untrusted.decode_json(value)
         return Operations(
-            version=int(document["version"]),
+            version=untrusted.integer("version", document["version"]),
             queues=tuple(_queue(route) for route in document.get("routes", ())),
             accounts=tuple(_account(tenant) for tenant in document.get("tenants", ())),
             guarded_services=tuple(
-                service["name"]
+                untrusted.text("services.name", service["name"])
                 for service in document.get("services", ())
                 if service.get("admission-check")
             ),
-            max_body_bytes=int(
-                document.get("limits", {}).get("max-body-bytes", 262_144)
+            max_body_bytes=_integer(
+                document.get("limits", {}), "max-body-bytes", 262_144
             ),
         )
-    except (msgspec.DecodeError, KeyError, TypeError, AttributeError) as error:
+    except (KeyError, TypeError, AttributeError, ValueError) as error:
         raise ValueError(f"configuration: {type(error).__name__}: {error}") from error
 
 
@@ -38,16 +37,24 @@
     return None
 
 
+def _integer(fields, name, default):
+    return int(untrusted.number(name, fields.get(name, default)))
+
+
+def _seconds(terms, name):
+    return untrusted.number(name, terms.get(name, 0)) / 1000
+
+
 def _queue(route):
     return Queue(
-        name=route["name"],
-        host=route["host"],
-        path_prefix=route["path-prefix"],
-        service=route["service"],
-        priority=int(route.get("priority", 1)),
-        max_attempts=int(route.get("max-attempts", 1)),
-        stretch=float(route.get("stretch", 1.0)),
-        target_latency_ms=int(route.get("target-latency-ms", 0)),
+        name=untrusted.text("name", route["name"]),
+        host=untrusted.text("host", route["host"]),
+        path_prefix=untrusted.text("path-prefix", route["path-prefix"]),
+        service=untrusted.text("service", route["service"]),
+        priority=_integer(route, "priority", 1),
+        max_attempts=_integer(route, "max-attempts", 1),
+        stretch=float(untrusted.number("stretch", route.get("stretch", 1.0))),
+        target_latency_ms=_integer(route, "target-latency-ms", 0),
         public=bool(route.get("public", False)),
         advice=_advice(route.get("advice")),
     )
@@ -57,16 +64,16 @@
     if not terms:
         return None
     return AdviceTerms(
-        decision_s=terms.get("decision-ms", 0) / 1000,
+        decision_s=_seconds(terms, "decision-ms"),
         # The operator's "period" is the additional time for each worker in a query.
-        per_worker_s=terms.get("period-ms", 0) / 1000,
-        valid_s=terms.get("validity-ms", 0) / 1000,
+        per_worker_s=_seconds(terms, "period-ms"),
+        valid_s=_seconds(terms, "validity-ms"),
     )
 
 
 def _account(tenant):
     return ClientAccount(
-        name=tenant["name"],
-        keys=tuple(tenant.get("api-keys", ())),
-        guaranteed_accelerators=int(tenant.get("guaranteed", {}).get("gpu", 0)),
+        name=untrusted.text("tenants.name", tenant["name"]),
+        keys=tuple(untrusted.text("key", key) for key in tenant.get("api-keys", ())),
+        guaranteed_accelerators=_integer(tenant.get("guaranteed", {}), "gpu", 0),
     )
--- a/packages/policy/src/samphiredeal/policy/graphs/records.py
+++ b/packages/policy/src/samphiredeal/policy/graphs/records.py
@@ -4,10 +4,12 @@
 by the scheduler before a start is sent and after a completion is received.
 """
 
-from typing import NamedTuple
+from typing import Annotated, NamedTuple
 
 import msgspec
 
+from samphiredeal.model import untrusted
+from samphiredeal.model.graph import JobRecord, validation_error
 from samphiredeal.policy.graphs.state import (
     FINAL_STATES,
     LISTED,
@@ -16,6 +18,9 @@
     Placement,
 )
 
+# A number that a row may hold; larger ones do not fit into messages.
+Count = Annotated[int, msgspec.Meta(ge=0, le=untrusted.MAX_INTEGER)]
+
 
 class PlaceRecord(NamedTuple):
     """Where a member of a unit may run."""
@@ -28,9 +33,9 @@
 class UnitRecord(NamedTuple):
     """State of a unit that has been started or is done."""
 
-    run: int
+    run: Count
     done: bool = False
-    failures: int = 0
+    failures: Count = 0
     checkpoint: str = ""
     places: tuple[PlaceRecord, ...] = ()
 
@@ -53,9 +58,13 @@
 def decode(data, kind):
     """Decode a record of type `kind`; raise ValueError if it is invalid."""
     try:
-        return msgspec.json.decode(data, type=kind)
-    except (msgspec.DecodeError, msgspec.ValidationError) as error:
+        record = untrusted.decode_json(data, kind)
+    except ValueError as error:
         raise ValueError(f"{kind.__name__}: {error}") from error
+    error = validation_error(record.spec) if kind is JobRecord else None
+    if error:
+        raise ValueError(f"{kind.__name__}: {error}")
+    return record
 
 
 def progress_of(job):
--- a/packages/policy/src/samphiredeal/policy/graphs/reports.py
+++ b/packages/policy/src/samphiredeal/policy/graphs/reports.py
@@ -240,8 +240,9 @@
 
 def _resend_orders(worker, report, listed, now):
     """Mark starts without an effect in due time to be sent again."""
-    if report.worker is None:
-        # The agent has not polled its worker, so its empty lists say nothing.
+    if report.worker is None or not report.complete:
+        # The worker has not been polled, or has more completions than it lists: a run
+        # that is missing may still be running, or may have ended.
         return
     pending = set(report.pending)
     for placement in worker.placements.values():
--- a/packages/wire/src/samphiredeal/wire/link.py
+++ b/packages/wire/src/samphiredeal/wire/link.py
@@ -6,10 +6,12 @@
 over TCP with length-prefixed frames; tests use links in memory.
 """
 
+from twisted.internet.defer import fail
 from twisted.internet.endpoints import TCP4ClientEndpoint, TCP4ServerEndpoint
 from twisted.internet.protocol import Factory
 from twisted.protocols.basic import Int32StringReceiver
 
+from samphiredeal.model.untrusted import parse_address
 from samphiredeal.wire import codec
 
 CONNECT_TIMEOUT_S = 1.0
@@ -79,10 +81,14 @@
 def connect(reactor, address):
     """Return a Deferred of a link to ``address:port``; it fails without connection.
 
-    The address is an IP address; there is no name resolution.
+    The address is an IP address; there is no name resolution. A malformed one fails
+    like one that cannot be reached.
     """
-    host, port = address.rsplit(":", 1)
-    endpoint = TCP4ClientEndpoint(reactor, host, int(port), timeout=CONNECT_TIMEOUT_S)
+    try:
+        host, port = parse_address(address)
+    except ValueError:
+        return fail()
+    endpoint = TCP4ClientEndpoint(reactor, host, port, timeout=CONNECT_TIMEOUT_S)
     factory = Factory()
     factory.buildProtocol = lambda _address: TcpLink()
     return endpoint.connect(factory)
--- a/tests/graph_world.py
+++ b/tests/graph_world.py
@@ -115,6 +115,7 @@
         self.work_of = {}
         self.version = 0
         self.queues = {}
+        self._addresses = {}
 
     # Setup
 
@@ -123,13 +124,14 @@
         node = self._add_node(name)
         node.faults.silent = silent
         node.operator_table = self.operator_table.view(node.clock, node.faults)
+        address = self.address_of(name)
         node.process = GraphEntry(
             node.clock,
             name,
-            name,
+            address,
             self.table.view(node.clock, node.faults),
             node.operator_table,
-            lambda address: self.network.connect(node, address),
+            lambda target: self.network.connect(node, target),
             BOUNDS,
             self.clock.seconds,
             random.Random(self.random.random()),
@@ -139,7 +141,7 @@
             node.links.append(link)
             node.process.accept(link)
 
-        self.network.listen(name, node, accept)
+        self.network.listen(address, node, accept)
         node.process.start()
         return node.process
 
@@ -158,7 +160,7 @@
     def add_agent(self, name):
         node = self._add_node(name)
         worker = self.workers[name]
-        record = work.WorkerRecord(name, worker.facts.zone)
+        record = work.WorkerRecord(self.address_of(name), worker.facts.zone)
         node.process = GraphAgent(
             node.clock,
             name,
@@ -176,9 +178,14 @@
             node.links.append(link)
             node.process.accept(link)
 
-        self.network.listen(name, node, accept)
+        self.network.listen(self.address_of(name), node, accept)
         node.process.start()
 
+    def address_of(self, name):
+        """Return the address of a node's links."""
+        number = len(self._addresses) + 1
+        return self._addresses.setdefault(name, f"10.0.0.{number}:7000")
+
     def _add_node(self, name):
         node = self.nodes[name] = Node(name, NodeClock(self.clock))
         return node
