Let an unexpected error end one step only

Cause: one error handler served both the advice query and the commit. After an error in a query no further query was sent in that term; after one in a commit its jobs counted as stored, and never started.

Change: a handler for each; the jobs of a failed commit are stored again, a failed eviction is tried again, and a follower whose consumer fails reads all rows again and counts as unconfirmed until they are applied.

--- a/packages/entry/src/samphiredeal/entry/graphs/dispatcher.py
+++ b/packages/entry/src/samphiredeal/entry/graphs/dispatcher.py
@@ -163,7 +163,11 @@
         query = None if self._querying_advice else self._scheduler.take_advice_request()
         if query is not None and self._host.advice is not None:
             self._querying_advice = True
-            ensureDeferred(self._query_advice(query)).addErrback(self._on_failure)
+            ensureDeferred(self._query_advice(query)).addErrback(self._advice_failed)
+
+    def _advice_failed(self, failure):
+        self._querying_advice = False
+        log_message(message_type="advice_failed", reason=failure.getTraceback())
 
     async def _query_advice(self, query):
         sent_at = self._clock.seconds()
@@ -207,12 +211,15 @@
             job.dirty = True
         self._committing = True
         is_all = len(dirty) <= _JOBS_PER_WRITE
-        ensureDeferred(self._store(dirty[:_JOBS_PER_WRITE], is_all)).addErrback(
-            self._on_failure
-        )
+        jobs = dirty[:_JOBS_PER_WRITE]
+        ensureDeferred(self._store(jobs, is_all)).addErrback(self._commit_failed, jobs)
 
-    def _on_failure(self, failure):
+    def _commit_failed(self, failure, jobs):
+        """Store the jobs again after an error, at the interval of a failed write."""
         self._committing = False
+        for job in jobs:
+            job.dirty = True
+        self._next_write_at = self._clock.seconds() + _STORE_RETRY_DELAY_S
         log_message(message_type="commit_failed", reason=failure.getTraceback())
 
     async def _store(self, jobs, is_all):
@@ -352,4 +359,8 @@
         ]
         if keys:
             deleted = self._table.write([self._leadership.condition], [], keys)
-            deleted.addErrback(self._on_failure)
+            deleted.addErrback(_log_failed_deletion)
+
+
+def _log_failed_deletion(failure):
+    log_message(message_type="deletion_failed", reason=failure.getTraceback())
--- a/packages/entry/src/samphiredeal/entry/graphs/follower.py
+++ b/packages/entry/src/samphiredeal/entry/graphs/follower.py
@@ -15,6 +15,8 @@
 
 # Short, since the usual cause is a single lost answer or a dropped connection.
 _RETRY_DELAY_S = 0.05
+# Delay after an error of the consumer; bounds the load if the error persists.
+_ERROR_DELAY_S = 0.5
 # At startup and after a failed call, requests are sent at this interval until one is
 # answered, without awaiting the earlier ones: a request sent while the store is
 # unresponsive is not answered after its recovery either.
@@ -116,24 +118,24 @@
         if answer.store_ms:
             self._store_clock = (answer.store_ms, self._clock.seconds())
         if is_snapshot or answer.rows:
-            self._pass_on(answer.rows, is_snapshot)
+            try:
+                self._on_rows(answer.rows, is_snapshot)
+            except Exception:
+                write_traceback()
+                await self._start_over()
+                return True
         self._version = max(self._version or 0, answer.version)
         self._confirmed_at = sent_at
         self._last_response_at = self._clock.seconds()
         return True
 
-    def _pass_on(self, rows, is_snapshot):
-        """Pass rows on; an error there must not end the following of the table."""
-        try:
-            self._on_rows(rows, is_snapshot)
-        except Exception:
-            write_traceback()
-            log_message(
-                message_type="rows_not_applied",
-                table=self._name,
-                version=self._version,
-                rows=len(rows),
-            )
+    async def _start_over(self):
+        """Read all rows again later, since some have not been applied."""
+        log_message(
+            message_type="rows_not_applied", table=self._name, version=self._version
+        )
+        self._version = None
+        await deferLater(self._clock, _ERROR_DELAY_S)
 
     def _request(self, wait_s):
         """Return a Deferred of the changes, or of a snapshot if there is none yet."""
--- a/packages/entry/src/samphiredeal/entry/graphs/sessions.py
+++ b/packages/entry/src/samphiredeal/entry/graphs/sessions.py
@@ -254,7 +254,18 @@
             silent_s=round(now - session.no_report_since, 3),
             epoch=self._leadership.epoch,
         )
-        ensureDeferred(self._store_eviction(session))
+        ensureDeferred(self._store_eviction(session)).addErrback(
+            self._eviction_failed, session
+        )
+
+    def _eviction_failed(self, failure, session):
+        """Let the next tick evict the agent again."""
+        session.evicting = False
+        log_message(
+            message_type="eviction_failed",
+            worker=session.name,
+            reason=failure.getTraceback(),
+        )
 
     async def _store_eviction(self, session):
         answer = await self._host.table.write(
--- a/tests/graph_world.py
+++ b/tests/graph_world.py
@@ -116,6 +116,8 @@
         self.version = 0
         self.queues = {}
         self._addresses = {}
+        # The advice service of entries that are started from now on.
+        self.advice = None
 
     # Setup
 
@@ -135,6 +137,7 @@
             BOUNDS,
             self.clock.seconds,
             random.Random(self.random.random()),
+            self.advice,
         )
 
         def accept(link):
@@ -213,8 +216,8 @@
 
     # Operator and caller actions
 
-    def configure(self, guaranteed=0, keys=(KEY,), prefixes=PREFIXES):
-        """Write the next version of the configuration."""
+    def configure(self, guaranteed=0, keys=(KEY,), prefixes=PREFIXES, **fields):
+        """Write the next version of the configuration; `fields` are of each queue."""
         self.version += 1
         routes = [
             {
@@ -226,6 +229,7 @@
                 "max-attempts": 2,
                 "stretch": 3.0,
                 "target-latency-ms": 1000,
+                **fields,
             }
             for prefix, priority in prefixes.items()
         ]
