Leave out trailing defaults of orders and reports

Cause: the new field of a report made it unreadable to a process of an older build, which would have evicted the agent during a rolling upgrade.

Change: trailing fields with their defaults are not sent, so a report of a complete poll has the older fields only.

Measured: packages/wire/tests/test_orders.py; the length test failed before.

--- a/packages/wire/src/samphiredeal/wire/orders.py
+++ b/packages/wire/src/samphiredeal/wire/orders.py
@@ -1,4 +1,8 @@
-"""Orders and reports as the bodies of `WorkOrders` and `WorkReport`."""
+"""Orders and reports as the bodies of `WorkOrders` and `WorkReport`.
+
+Each is an array of its fields. Trailing fields that have their defaults are left out,
+so that a process of an older build reads a message whose newer fields are not used.
+"""
 
 import msgspec
 
@@ -7,7 +11,15 @@
 
 def encode(value):
     """Return an `Orders` or a `Report` as bytes."""
-    return msgspec.msgpack.encode(value)
+    return msgspec.msgpack.encode(_without_trailing_defaults(value))
+
+
+def _without_trailing_defaults(value):
+    fields, defaults = value._fields, value._field_defaults
+    used = len(fields)
+    while used and defaults.get(fields[used - 1], value) == value[used - 1]:
+        used -= 1
+    return value[:used]
 
 
 def decode_orders(data):
