--- a/packages/policy/src/samphiredeal/policy/graphs/reports.py
+++ b/packages/policy/src/samphiredeal/policy/graphs/reports.py
@@ -84,10 +84,14 @@
     unit = placement.unit
     unit.job.dirty = True
     _stop_remaining(unit, "a member of its gang was lost")
-    fields = {"task": placement.task, "run": placement.run}
-    log_entries.append(
-        ("run_lost", {**fields, "worker": worker.name, "reason": reason})
-    )
+    fields = {
+        "task": placement.task,
+        "run": placement.run,
+        "worker": worker.name,
+        "reason": reason,
+        "saved": bool(unit.checkpoint),
+    }
+    log_entries.append(("run_lost", fields))
 
 
 def _apply_running(scheduler, worker, running, now):
@@ -162,6 +166,8 @@
                 "run": ended.run,
                 "worker": worker.name,
                 "how": ended.how,
+                "reason": placement.stopping if is_current else "",
+                "saved": bool(ended.checkpoint),
                 "failures": unit.failures,
             },
         )
@@ -234,6 +240,10 @@
 
 def _resend_orders(worker, report, listed, now):
     """Mark starts without an effect in due time to be sent again."""
+    if report.worker is None or not report.complete:
+        # The worker has not been polled, or has more completions than it lists: a run
+        # that is missing may still be running, or may have ended.
+        return
     pending = set(report.pending)
     for placement in worker.placements.values():
         run = RunId(placement.task, placement.run)
