Count a broken gang under the cause of its lost member

Cause: the members of a gang that breaks are reported before the member whose worker is gone, so bench.lost put 94,222 of 152,342 core-seconds under "other".

Change: the first known cause among the members counts for all.

--- a/bench/lost.py
+++ b/bench/lost.py
@@ -16,7 +16,8 @@
     failed      it failed, or its job had failed
     other       none of these
 
-All members of a gang count under the cause of the first one that ended.
+All members of a gang count under the first known cause among them: those that end
+because another one has ended are often reported before it.
 """
 
 import collections
@@ -87,7 +88,9 @@
         """Return the `LostRun` of each run, in the order of their ends."""
         causes = {}
         for _at, task, run, cause, _core_s in self._ends:
-            causes.setdefault((*_unit_of(task, self._gangs), run), cause)
+            unit = (*_unit_of(task, self._gangs), run)
+            if causes.get(unit, "other") == "other":
+                causes[unit] = cause
         return [
             LostRun(at, task, causes[(*_unit_of(task, self._gangs), run)], core_s)
             for at, task, run, _cause, core_s in self._ends
--- a/tests/test_lost_work.py
+++ b/tests/test_lost_work.py
@@ -73,6 +73,13 @@
     assert count(*events) == {"evicted": (2, 1, 90.0)}
 
 
+def test_member_that_is_reported_late_gives_its_gang_the_cause():
+    events = [placed(1.0, unit="0.0"), started(1.0), started(1.0, 1)]
+    events += [ended(5.0, "broken", "broken", 1)]
+    events += [lost(6.0, "its worker's incarnation has ended")]
+    assert count(*events) == {"crashed": (2, 1, 90.0)}
+
+
 def test_completion_reported_to_a_second_scheduler_counts_once():
     end = ended(5.0, reason="its job is cancelled")
     again = ended(7.0, reason="its job is cancelled")
