--- a/packages/cli/src/samphiredeal/cli/porcelain.py
+++ b/packages/cli/src/samphiredeal/cli/porcelain.py
@@ -90,13 +90,9 @@
         :param url: an entry's HTTP address
         :param json: print JSON
         """
-        text = document
-        if text.startswith("@"):
-            with open(text[1:], encoding="utf-8") as file:
-                text = file.read()
         try:
-            parsed = json5.loads(text)
-        except ValueError as error:
+            parsed = _read_document(document)
+        except (OSError, ValueError) as error:
             print(f"document: {error}", file=sys.stderr)
             return 2
         return _write(url, json, f"/v1/{kind}s/{name}", parsed, if_match)
@@ -141,6 +137,14 @@
     return mark
 
 
+def _read_document(argument):
+    """Return the document in an argument, or in the file that ``@FILE`` names."""
+    if not argument.startswith("@"):
+        return json5.loads(argument)
+    with open(argument[1:], encoding="utf-8") as file:
+        return json5.loads(file.read())
+
+
 def submit(document: str, *, url: str = "", json: bool = False):
     """Submit a job.
 
@@ -148,11 +152,12 @@
     :param url: an entry's HTTP address
     :param json: print JSON
     """
-    text = document
-    if text.startswith("@"):
-        with open(text[1:], encoding="utf-8") as file:
-            text = file.read()
-    reply = client.call(_url(url), "POST", "/v1/jobs", json5.loads(text))
+    try:
+        job = _read_document(document)
+    except (OSError, ValueError) as error:
+        print(f"job: {error}", file=sys.stderr)
+        return 2
+    reply = client.call(_url(url), "POST", "/v1/jobs", job)
     return _Output(json).show(reply, lambda d: f"job {d['id']} is {d['state']}")
 
 
--- a/packages/cli/src/samphiredeal/cli/settings.py
+++ b/packages/cli/src/samphiredeal/cli/settings.py
@@ -132,6 +132,7 @@
     for key in ("port", "http_port"):
         if key in document and document[key] not in _PORTS:
             yield f"{key}: {document[key]} is not a port"
+    yield from _clashing_ports(document)
     if schema is AgentSettings and document["kind"] not in _KINDS:
         yield f"kind: {document['kind']!r} is not one of {', '.join(_KINDS)}"
     if schema is AgentSettings and not document["entries"]:
@@ -141,6 +142,15 @@
         yield f"slots: {slots} is below 1"
 
 
+def _clashing_ports(document):
+    """Yield a fault if both servers of an entry would listen at one address."""
+    port, http_port = document.get("port"), document.get("http_port")
+    host = document.get("host")
+    same_host = document.get("http_host") in (None, "", host)
+    if port and port == http_port and same_host:
+        yield f"http_port: {http_port} is also port"
+
+
 def schema_of(document):
     """Return the schema of a document; only agents' settings have the key ``kind``."""
     return AgentSettings if "kind" in document else EntrySettings
--- a/packages/cli/tests/test_settings.py
+++ b/packages/cli/tests/test_settings.py
@@ -98,3 +98,25 @@
 def test_missing_file_is_an_error(tmp_path):
     with pytest.raises(SettingsError, match="cannot be read"):
         load(tmp_path / "none.json", EntrySettings)
+
+
+def test_ports_of_one_address_must_differ(tmp_path):
+    entry = {
+        "name": "e1",
+        "zone": "a",
+        "region": "r",
+        "host": "127.0.0.1",
+        "port": 7000,
+        "http_port": 7000,
+        "platform_url": "http://127.0.0.1:1",
+    }
+    with pytest.raises(SettingsError, match="http_port: 7000 is also port"):
+        load(write(tmp_path, entry), EntrySettings)
+    other_host = {**entry, "http_host": "127.0.0.2"}
+    assert load(write(tmp_path, other_host), EntrySettings)["http_port"] == 7000
+
+
+@pytest.mark.parametrize("document", ["{", "@no-such-file.json"])
+def test_job_that_cannot_be_read_is_a_usage_error(capsys, document):
+    assert porcelain.submit(document) == 2
+    assert capsys.readouterr().err.startswith("job: ")
--- a/packages/entry/src/samphiredeal/entry/burn.py
+++ b/packages/entry/src/samphiredeal/entry/burn.py
@@ -7,9 +7,10 @@
 from typing import NamedTuple
 
 import msgspec
+from eliot import log_message
 
-from samphiredeal.model import verdict
-from samphiredeal.platform.table import Put, Unavailable
+from samphiredeal.model import untrusted, verdict
+from samphiredeal.platform.table import Put, Unavailable, scan_all
 
 MINUTE_S = 60
 RETENTION_MINUTES = 360
@@ -17,7 +18,6 @@
 DEFAULT_OBJECTIVE_SHARE = 0.99
 SAVE_INTERVAL_S = 30.0
 _PREFIX = "report/"
-_MAX_ROWS = 200
 
 
 class Burn(NamedTuple):
@@ -83,6 +83,10 @@
 
     def zone(self, name, out):
         """Record that a zone was marked as out or as in."""
+        oldest = self.minute() - RETENTION_MINUTES
+        self._episodes = [
+            one for one in self._episodes if one[2] is None or one[2] > oldest
+        ]
         if out:
             self._episodes.append([name, self.minute(), None])
             return
@@ -120,24 +124,39 @@
 
         Rows of entries that have not saved for six hours are deleted.
         """
-        rows = await self._table.scan(_PREFIX, "", _MAX_ROWS)
+        rows = await scan_all(self._table, _PREFIX)
         if isinstance(rows, Unavailable):
             return [], False
         documents, complete = [], True
         for row in rows:
             if row.key == self._own:
                 continue
-            if int(row.value) < minute - RETENTION_MINUTES:
+            if not row.value.isdigit() or int(row.value) < minute - RETENTION_MINUTES:
                 await self._table.write([], [], [row.key])
                 continue
-            data = await self._objects.get(row.key)
-            if isinstance(data, bytes):
-                documents.append(msgspec.json.decode(data))
-            else:
+            document = _decode_counts(row.key, await self._objects.get(row.key))
+            if document is None:
                 complete = False
+            else:
+                documents.append(document)
         return documents, complete
 
 
+def _decode_counts(key, data):
+    """Return the counts in an object, or None if there are none to be read."""
+    if not isinstance(data, bytes):
+        return None
+    try:
+        document = untrusted.decode_json(data)
+        # An error here shows an odd document before it is added to the others.
+        burns(merge([document], 0)[0], 0, {})
+    except (AttributeError, KeyError, TypeError, ValueError) as error:
+        reason = f"{type(error).__name__}: {error}"[:300]
+        log_message(message_type="counts_unreadable", key=key, reason=reason)
+        return None
+    return document
+
+
 def merge(documents, minute):
     """Return counts summed over entries: series and jobs by minute, episodes."""
     minutes, episodes = {}, []
--- a/packages/entry/src/samphiredeal/entry/lease.py
+++ b/packages/entry/src/samphiredeal/entry/lease.py
@@ -7,7 +7,9 @@
 from typing import NamedTuple
 
 import msgspec
+from eliot import log_message
 
+from samphiredeal.model import untrusted
 from samphiredeal.platform.table import (
     Committed,
     Condition,
@@ -15,6 +17,7 @@
     Put,
     Row,
     Unavailable,
+    scan_all,
 )
 
 RENEW_INTERVAL_S = 1.0
@@ -56,6 +59,51 @@
     beat: int
 
 
+class HolderRow(NamedTuple):
+    """The content of the scheduler's lease row; `holder` is empty if released."""
+
+    epoch: int = 0
+    holder: str = ""
+
+
+def _decode_entry(row):
+    """Return the `EntryRow` of a row, or None if another writer left it odd."""
+    try:
+        fields = untrusted.decode_json(row.value)
+        entry = EntryRow(**fields)
+        for name in ("name", "address", "zone", "region", "incarnation"):
+            untrusted.text(name, getattr(entry, name))
+        untrusted.integer("beat", entry.beat)
+    except (TypeError, ValueError) as error:
+        _log_unreadable(row, error)
+        return None
+    return entry
+
+
+def _decode_holder(row):
+    """Return the `HolderRow` of a row, or None if it is absent or odd."""
+    if not row.version:
+        return None
+    try:
+        fields = untrusted.decode_json(row.value)
+        return HolderRow(
+            untrusted.integer("epoch", fields["epoch"]),
+            untrusted.text("holder", fields["holder"]),
+        )
+    except (KeyError, TypeError, ValueError) as error:
+        _log_unreadable(row, error)
+        return None
+
+
+def _log_unreadable(row, error):
+    log_message(
+        message_type="row_unreadable",
+        key=row.key[: untrusted.MAX_TEXT_CHARS],
+        version=row.version,
+        reason=f"{type(error).__name__}: {error}"[:300],
+    )
+
+
 class Membership:
     """The lease rows of this entry and of the others."""
 
@@ -78,13 +126,14 @@
         self._own = self._own._replace(beat=self._own.beat + 1)
         value = msgspec.json.encode(self._own._asdict())
         await self._table.write([], [Put(self.PREFIX + self._own.name, value)])
-        page = await self._table.scan(self.PREFIX, "", 100)
-        if isinstance(page, Unavailable):
+        rows = await scan_all(self._table, self.PREFIX)
+        if isinstance(rows, Unavailable):
             return
         live = {}
-        for row in page:
-            entry = EntryRow(**msgspec.json.decode(row.value))
-            if self._monitor.observe(row) and entry.name != self._own.name:
+        for row in rows:
+            entry = _decode_entry(row)
+            is_other = entry is not None and entry.name != self._own.name
+            if is_other and self._monitor.observe(row):
                 live[entry.name] = entry
         self._members = live
 
@@ -129,10 +178,13 @@
         if not isinstance(row, Row):
             return
         live = self._monitor.observe(row)
-        document = msgspec.json.decode(row.value) if row.version else {"epoch": 0}
+        found = _decode_holder(row)
         self._version = row.version
-        if not row.version or not live or document["holder"] == "":
-            await self._write(document["epoch"] + 1)
+        if found is None:
+            # Epochs rise from the last one known here; agents refuse a lower one.
+            found = HolderRow(self._epoch)
+        if not row.version or not live or found.holder == "":
+            await self._write(found.epoch + 1)
 
     async def release(self):
         """Release a held lease so that another entry can acquire it at once."""
@@ -156,8 +208,7 @@
 
     async def _on_conflict(self, row, epoch):
         """Distinguish a lost answer to this entry's own write from a lost lease."""
-        document = msgspec.json.decode(row.value) if row.version else {}
-        if document.get("holder") == self._name and document.get("epoch") == epoch:
+        if _decode_holder(row) == HolderRow(epoch, self._name):
             self._held = True
             self._epoch = epoch
             self._version = row.version
--- a/packages/entry/src/samphiredeal/entry/requests.py
+++ b/packages/entry/src/samphiredeal/entry/requests.py
@@ -228,10 +228,16 @@
         self._claims_opening += 1
         session.reserve_slot(claim.dispatch_id)
         version = refused_claim.version if refused_claim is not None else 0
-        opened = await self._claims.open(request.account, request.key, claim, version)
-        self._claims_opening -= 1
-        if isinstance(opened, Unavailable) or not opened[0]:
-            session.release_slot(claim.dispatch_id)
+        is_open = False
+        try:
+            opened = await self._claims.open(
+                request.account, request.key, claim, version
+            )
+            is_open = not isinstance(opened, Unavailable) and opened[0]
+        finally:
+            self._claims_opening -= 1
+            if not is_open:
+                session.release_slot(claim.dispatch_id)
         if isinstance(opened, Unavailable):
             return verdict.STORE_DOWN.with_detail(opened.reason)
         return opened
@@ -277,7 +283,9 @@
     def _close_claim_later(self, stored_claim, state, outcome):
         """Make an outcome durable, then acknowledge the answer to the agent."""
         self._claims_closing += 1
-        ensureDeferred(self._close_claim(stored_claim, state, outcome))
+        ensureDeferred(self._close_claim(stored_claim, state, outcome)).addErrback(
+            _log_close_failed, stored_claim.key
+        )
 
     async def _close_claim(self, stored_claim, state, outcome):
         try:
@@ -356,13 +364,20 @@
 def _with_timeout(clock, seconds):
     """Return a Deferred that fires with None after a time unless it fires before."""
     waiting = Deferred()
+    timer = clock.callLater(seconds, waiting.callback, None)
+
+    def stop_timer(reply):
+        if timer.active():
+            timer.cancel()
+        return reply
+
+    return waiting.addCallback(stop_timer)
 
-    def expire():
-        if not waiting.called:
-            waiting.callback(None)
 
-    clock.callLater(seconds, expire)
-    return waiting
+def _log_close_failed(failure, key):
+    log_message(
+        message_type="claim_close_failed", key=key, reason=failure.getTraceback()
+    )
 
 
 def _outcome_without_run(request, reason):
--- a/packages/entry/tests/test_burn.py
+++ b/packages/entry/tests/test_burn.py
@@ -4,6 +4,7 @@
 the entry that made them, and a report made without the store is marked partial.
 """
 
+import pytest
 from reactor_thread import call_in_reactor
 
 from samphiredeal.entry.burn import Counts, ReportStore, burns, make_report, merge
@@ -87,3 +88,38 @@
     store = ReportStore(table, objects, "new")
     call_in_reactor(lambda: make_report(make_counts(wall), store, {}))
     assert call_in_reactor(table.read, "report/old").version == 0
+
+
+def test_more_reports_than_a_page_are_merged():
+    wall, table, objects = Wall(), MemoryTable(), MemoryObjects()
+    for number in range(250):
+        store = ReportStore(table, objects, f"entry-{number:03}")
+        counts = make_counts(wall, ran=1)
+        call_in_reactor(lambda store=store, counts=counts: store.save(counts))
+    store = ReportStore(table, objects, "here")
+    report = call_in_reactor(lambda: make_report(make_counts(wall), store, {}))
+    assert report["burn"][0]["total"] == 250
+
+
+@pytest.mark.parametrize("data", [b"[" * 100_000, b"{}", b"7", b"\xff", b""])
+def test_odd_counts_of_another_entry_are_left_out(data):
+    wall, table, objects = Wall(), MemoryTable(), MemoryObjects()
+    odd = ReportStore(table, objects, "odd")
+    call_in_reactor(lambda: odd.save(make_counts(wall, ran=1)))
+    call_in_reactor(lambda: objects.put("report/odd", data))
+    store = ReportStore(table, objects, "here")
+    counts = make_counts(wall, ran=1)
+    report = call_in_reactor(lambda: make_report(counts, store, {}))
+    assert not report["complete"]
+    assert report["burn"][0]["total"] == 1
+
+
+def test_ended_zone_episodes_are_dropped_after_the_retention():
+    wall = Wall()
+    counts = Counts(wall)
+    for _ in range(3):
+        counts.zone("a", out=True)
+        counts.zone("a", out=False)
+        wall.now += 7 * 3600
+    counts.zone("b", out=True)
+    assert [one[0] for one in counts.document["episodes"]] == ["b"]
--- a/packages/platform/src/samphiredeal/platform/table.py
+++ b/packages/platform/src/samphiredeal/platform/table.py
@@ -104,6 +104,7 @@
 # store.
 CHANGES_TIMEOUT_S = 0.8
 _RETRY_DELAY_S = 0.2
+_PAGE_ROWS = 200
 
 
 def within(clock, seconds, answer):
@@ -128,6 +129,19 @@
     return limited
 
 
+async def scan_all(table, prefix):
+    """Return all rows with a prefix, page by page, or an `Unavailable`."""
+    rows, after = [], ""
+    while True:
+        page = await table.scan(prefix, after, _PAGE_ROWS)
+        if isinstance(page, Unavailable):
+            return page
+        rows += page
+        if len(page) < _PAGE_ROWS:
+            return rows
+        after = page[-1].key
+
+
 async def write_until_resolved(
     clock, table, conditions, puts, deletes=(), give_up_at=None
 ):
--- a/tests/test_internal_errors.py
+++ b/tests/test_internal_errors.py
@@ -4,10 +4,14 @@
 which it interrupted is done again.
 """
 
+from builders import make_world
 from graph_world import GraphWorld, make_graph_world
-from twisted.internet.defer import fail
+from twisted.internet.defer import ensureDeferred, fail
 
+from samphiredeal.entry.claims import Claims
 from samphiredeal.entry.graphs import dispatcher, work
+from samphiredeal.entry.requests import Request
+from samphiredeal.model import verdict
 from samphiredeal.platform.advice import Advice
 from samphiredeal.platform.table import Put
 from samphiredeal.policy.graphs import records
@@ -139,3 +143,27 @@
         world.table.write([], [Put(work.HEARTBEAT_KEY, value)])
         world.run(0.5)
     assert run_job(world) == "completed"
+
+
+def test_claims_that_raise_leave_no_slot_taken(monkeypatch):
+    world = make_world()
+    requests = world.nodes["entry-0"].process.requests
+    slots = world.nodes["entry-0"].process.router.slots()
+    failing = [RuntimeError("injected")] * slots
+    open_claim = Claims.open
+
+    async def fail_first(self, *args, **kwargs):
+        if failing:
+            raise failing.pop()
+        return await open_claim(self, *args, **kwargs)
+
+    monkeypatch.setattr(Claims, "open", fail_first)
+    failures = []
+    for number in range(slots):
+        deadline = world.clock.seconds() + 5.0
+        request = Request("acct", "normal", deadline, f"k{number}", False, b"body")
+        ensureDeferred(requests.serve(request)).addErrback(failures.append)
+        world.run(0.2)
+    assert len(failures) == slots
+    outcome = world.request("entry-0", b"body", "last")
+    assert outcome.verdict == verdict.RAN, outcome
