Take figures that only inform as they come, and longer texts of the operator

Cause: reading the change again, a percentage above 100, a usage below zero or a notice that counts on below zero would have made a whole poll or heartbeat unreadable, and a key of the operator above 200 characters the configuration.

Change: they are clamped or accepted; rows that are left out are logged by one function for both interfaces.

Measured: two new tests failed before.

--- a/packages/entry/src/samphiredeal/entry/graphs/work.py
+++ b/packages/entry/src/samphiredeal/entry/graphs/work.py
@@ -10,9 +10,10 @@
 
 from typing import NamedTuple
 
-from eliot import log_message, write_traceback
+from eliot import write_traceback
 from twisted.internet.defer import Deferred
 
+from samphiredeal.entry.unreadable import log_unreadable_row
 from samphiredeal.model import untrusted
 from samphiredeal.model.graph import JobRecord
 from samphiredeal.policy.graphs import records
@@ -107,15 +108,6 @@
 }
 
 
-def _log_unreadable(row, reason):
-    log_message(
-        message_type="row_unreadable",
-        key=row.key[: untrusted.MAX_TEXT_CHARS],
-        version=row.version,
-        reason=reason[:300],
-    )
-
-
 class WorkView:
     """All rows of the table, decoded; calls `on_change()` after each update."""
 
@@ -153,11 +145,11 @@
             try:
                 self._apply_row(row)
             except ValueError as error:
-                _log_unreadable(row, str(error))
+                log_unreadable_row(row, error)
             except Exception as error:
                 # One odd row must not keep the others from being applied.
                 write_traceback()
-                _log_unreadable(row, f"{type(error).__name__}: {error}")
+                log_unreadable_row(row, error)
         self._on_change()
 
     def _apply_row(self, row):
--- a/packages/entry/src/samphiredeal/entry/lease.py
+++ b/packages/entry/src/samphiredeal/entry/lease.py
@@ -7,8 +7,8 @@
 from typing import NamedTuple
 
 import msgspec
-from eliot import log_message
 
+from samphiredeal.entry.unreadable import log_unreadable_row
 from samphiredeal.model import untrusted
 from samphiredeal.platform.table import (
     Committed,
@@ -75,7 +75,7 @@
             untrusted.text(name, getattr(entry, name))
         untrusted.integer("beat", entry.beat)
     except (TypeError, ValueError) as error:
-        _log_unreadable(row, error)
+        log_unreadable_row(row, error)
         return None
     return entry
 
@@ -91,19 +91,10 @@
             untrusted.text("holder", fields["holder"]),
         )
     except (KeyError, TypeError, ValueError) as error:
-        _log_unreadable(row, error)
+        log_unreadable_row(row, error)
         return None
 
 
-def _log_unreadable(row, error):
-    log_message(
-        message_type="row_unreadable",
-        key=row.key[: untrusted.MAX_TEXT_CHARS],
-        version=row.version,
-        reason=f"{type(error).__name__}: {error}"[:300],
-    )
-
-
 class Membership:
     """The lease rows of this entry and of the others."""
 
--- /dev/null
+++ b/packages/entry/src/samphiredeal/entry/unreadable.py
@@ -0,0 +1,17 @@
+"""Logging of rows that another writer has left unreadable."""
+
+from eliot import log_message
+
+from samphiredeal.model.untrusted import MAX_TEXT_CHARS
+
+_MAX_REASON_CHARS = 300
+
+
+def log_unreadable_row(row, error):
+    """Log a row of a table that is left out, and why."""
+    log_message(
+        message_type="row_unreadable",
+        key=row.key[:MAX_TEXT_CHARS],
+        version=row.version,
+        reason=f"{type(error).__name__}: {error}"[:_MAX_REASON_CHARS],
+    )
--- a/packages/platform/src/samphiredeal/platform/executor.py
+++ b/packages/platform/src/samphiredeal/platform/executor.py
@@ -38,7 +38,6 @@
 _MAX_MEMORY_MB = 10**9
 _MAX_ACCELERATORS = 10**5
 _MAX_LABELS = 64
-_MAX_LEAVING_MS = 10**9
 
 
 class PollResult(NamedTuple):
@@ -167,8 +166,10 @@
         untrusted.text("task", task),
         untrusted.integer("run", run),
         untrusted.text("saved", checkpoint or ""),
-        int(untrusted.number("percent", percent, 0, 100)),
-        int(untrusted.number("usage", usage[0])) if usage else 0,
+        min(100, int(untrusted.number("percent", percent))),
+        int(untrusted.number("usage", usage[0], -untrusted.MAX_INTEGER))
+        if usage
+        else 0,
     )
 
 
@@ -199,8 +200,8 @@
     if state not in ("ready", _LEAVING_STATE):
         raise ValueError(f"state: {state!r} is unknown")
 
-    def integer(name, high=untrusted.MAX_INTEGER):
-        return untrusted.integer(name, document.get(name, 0), 0, high)
+    def integer(name, low=0):
+        return untrusted.integer(name, document.get(name, 0), low)
 
     facts = WorkerFacts(
         id=untrusted.text("id", worker_id),
@@ -210,7 +211,8 @@
         capacity=_capacity(document.get("capacity") or {}),
         labels=_labels(document.get("labels", [])),
         leaving=state == _LEAVING_STATE,
-        leaving_in_ms=integer("remaining-ms", _MAX_LEAVING_MS),
+        # A worker that stays longer than announced may count on below zero.
+        leaving_in_ms=max(0, integer("remaining-ms", -untrusted.MAX_INTEGER)),
     )
     return HeartbeatFields(facts, integer("sequence"))
 
--- a/packages/platform/src/samphiredeal/platform/operator.py
+++ b/packages/platform/src/samphiredeal/platform/operator.py
@@ -7,6 +7,8 @@
 OPERATOR_TABLE = "op"
 CONFIGURATION_KEY = "config"
 _ZONE_OUT_PREFIX = "evacuate/"
+# The operator's names, paths and keys may be longer than those of other writers.
+_MAX_TEXT_CHARS = 4096
 
 
 def decode_operations(value):
@@ -18,7 +20,7 @@
             queues=tuple(_queue(route) for route in document.get("routes", ())),
             accounts=tuple(_account(tenant) for tenant in document.get("tenants", ())),
             guarded_services=tuple(
-                untrusted.text("services.name", service["name"])
+                _text(service, "name")
                 for service in document.get("services", ())
                 if service.get("admission-check")
             ),
@@ -41,16 +43,20 @@
     return int(untrusted.number(name, fields.get(name, default)))
 
 
+def _text(fields, name):
+    return untrusted.text(name, fields[name], _MAX_TEXT_CHARS)
+
+
 def _seconds(terms, name):
     return untrusted.number(name, terms.get(name, 0)) / 1000
 
 
 def _queue(route):
     return Queue(
-        name=untrusted.text("name", route["name"]),
-        host=untrusted.text("host", route["host"]),
-        path_prefix=untrusted.text("path-prefix", route["path-prefix"]),
-        service=untrusted.text("service", route["service"]),
+        name=_text(route, "name"),
+        host=_text(route, "host"),
+        path_prefix=_text(route, "path-prefix"),
+        service=_text(route, "service"),
         priority=_integer(route, "priority", 1),
         max_attempts=_integer(route, "max-attempts", 1),
         stretch=float(untrusted.number("stretch", route.get("stretch", 1.0))),
@@ -73,7 +79,10 @@
 
 def _account(tenant):
     return ClientAccount(
-        name=untrusted.text("tenants.name", tenant["name"]),
-        keys=tuple(untrusted.text("key", key) for key in tenant.get("api-keys", ())),
+        name=_text(tenant, "name"),
+        keys=tuple(
+            untrusted.text("api-keys", key, _MAX_TEXT_CHARS)
+            for key in tenant.get("api-keys", ())
+        ),
         guaranteed_accelerators=_integer(tenant.get("guaranteed", {}), "gpu", 0),
     )
--- a/packages/platform/tests/test_odd_documents.py
+++ b/packages/platform/tests/test_odd_documents.py
@@ -159,6 +159,18 @@
     assert msgspec.msgpack.encode(started) and msgspec.msgpack.encode(stopped)
 
 
+def test_figures_that_only_inform_do_not_make_a_worker_unreadable():
+    lists = {**LISTS, "running": [["a.0.0.0", 1, "", 104.5, -3.5]]}
+    client = ExecutorClient(Answering(msgspec.json.encode(lists)))
+    (running,) = result(client.poll(1, 0, None, 0.0)).running
+    assert (running.percent, running.usage) == (100, -3)
+
+
+def test_worker_that_stays_longer_than_announced_is_heard():
+    data = with_value(HEARTBEAT, ("remaining-ms",), b"-250")
+    assert decode_heartbeat("i-1", data).facts.leaving_in_ms == 0
+
+
 @pytest.mark.parametrize("path, value", cases(CONFIGURATION))
 def test_odd_configuration_is_refused_or_usable(path, value):
     try:
