Leave odd data in the soak, and log malformed frames

Cause: the soak had no odd rows, heartbeats or frames, and a process that ended by itself was restarted without a word. A link that got a malformed frame was closed unlogged, so nothing led from a lost link to its cause.

Change: another writer's odd data about once a second, drawn beside the seed's other choices, which stay as they were; a process that ends by itself counts as a violation. frame_unreadable names the peer and the reason.

--- a/packages/standins/src/samphiredeal/standins/graph_cluster.py
+++ b/packages/standins/src/samphiredeal/standins/graph_cluster.py
@@ -123,6 +123,10 @@
         headers = {"Host": CALLERS_HOST, "Authorization": f"Token {key}"}
         return _call(url, verb, document, headers)
 
+    def settings_of(self, name):
+        """Return the settings document of an entry or agent."""
+        return self._roles_and_settings[name][1]
+
     def is_ready(self, entry):
         """Return whether an entry reports that callers may be routed to it."""
         url = f"http://{HOST}:{self._readiness_ports[entry]}/api/readiness"
--- a/packages/standins/src/samphiredeal/standins/soak.py
+++ b/packages/standins/src/samphiredeal/standins/soak.py
@@ -2,15 +2,19 @@
 
 Runs the real programs beside stand-ins, submits jobs and injects faults from outside:
 processes are killed, paused, stopped and restarted, and connections to the store and
-to workers are delayed, blocked in one or both directions, and reset. Then removes all
+to workers are delayed, blocked in one or both directions, and reset. Another writer
+leaves odd rows in the store and sends odd heartbeats and frames. Then removes all
 faults and checks invariants from the job states and the workers' histories. The exit
 status is 1 if an invariant was violated; the logs of all processes stay in the folder
 that is printed.
 """
 
+import base64
+import contextlib
 import os
 import random
 import signal
+import socket
 import sys
 import tempfile
 import time
@@ -26,6 +30,22 @@
 _MEAN_FAULT_INTERVAL_S = 1.5
 _FAULT_DURATION_S = (0.3, 4.0)
 _CANCEL_PROBABILITY = 0.15
+_MEAN_ODD_DATA_INTERVAL_S = 1.0
+_CONNECT_TIMEOUT_S = 0.5
+_DEEP = b"[" * 50_000 + b"]" * 50_000
+_ODD_VALUES = (
+    _DEEP,
+    b'["127.0.0.1:99999","zone-0"]',
+    b'["127.0.0.1:-1","zone-0"]',
+    b'["nowhere","zone-0"]',
+    b"[1e308,1e308]",
+    b"[123456789012345678901234567890,0]",
+    b'{"capacity":{"gpu":1e308},"state":"ready","service":"desk","zone":"a"}',
+    b"{}",
+    b"\xff\xfe",
+    b"",
+)
+_ODD_PREFIXES = ("worker/", "entry/", "job/", "progress/", "cancel/", "other/")
 # Success, no response, and outcome unknown: an entry that was paused applies a cancel
 # after its caller has timed out.
 _MAY_HAVE_CANCELLED = (200, 0, 504)
@@ -54,6 +74,24 @@
         self.proxies[name] = control
         return self._ports[name]
 
+    def put_row(self, key, value):
+        """Write a row into the system's table, as another writer."""
+        location = {"table": "samphiredeal", "part": "", "key": key}
+        put = {**location, "value": base64.b64encode(value).decode()}
+        body = {"expected": [], "puts": [put], "remove": []}
+        post(self.url_of("platform") + "/api/rows-tx", body)
+
+    def send_heartbeat(self, agent, worker_id, body):
+        """Send the bytes of a heartbeat to an agent; its answer doesn't matter."""
+        head = f"POST /api/Instances.Heartbeat/{worker_id} HTTP/1.1\r\nHost: x\r\n"
+        head += f"Content-Length: {len(body)}\r\n\r\n"
+        address = self.settings_of(agent)["listen-addresses"]["control"]
+        _send(int(address.rpartition(":")[2]), head.encode() + body)
+
+    def send_bytes(self, name, data):
+        """Send bytes to the address at which a process accepts links."""
+        _send(self.settings_of(name)["internal-ports"][0], data)
+
     def set_fault(self, name, mode, delay_s=0.0):
         """Set the mode of a proxy; ``pass`` removes the fault."""
         url = f"http://{HOST}:{self.proxies[name]}/"
@@ -66,17 +104,29 @@
         return self.start_proxy(f"way-{name}", name)
 
 
+def _send(port, data):
+    """Send bytes to a process, which may be down or paused."""
+    with (
+        contextlib.suppress(OSError),
+        socket.create_connection((HOST, port), _CONNECT_TIMEOUT_S) as connection,
+    ):
+        connection.sendall(data)
+
+
 class Soak:
     """One run; `seed` determines its random choices."""
 
     def __init__(self, seed, folder):
         self._random = random.Random(seed)
+        # Odd data must not change the other choices of a seed.
+        self._odd_random = random.Random(f"odd data {seed}")
         self._cluster = SoakCluster(folder)
         self._accepted = {}
         self._refused = set()
         self._cancelled = set()
         self._pending_repairs = []
         self._faulty_processes = set()
+        self._ended_by_themselves = []
         self.faults = []
 
     def run(self, seconds):
@@ -85,7 +135,7 @@
         try:
             self._start()
             end_at = time.monotonic() + seconds
-            next_job = next_fault = 0.0
+            next_job = next_fault = next_odd_data = 0.0
             while time.monotonic() < end_at:
                 now = time.monotonic()
                 if now >= next_job:
@@ -96,6 +146,11 @@
                     next_fault = now + self._random.expovariate(
                         1 / _MEAN_FAULT_INTERVAL_S
                     )
+                if now >= next_odd_data:
+                    self._leave_odd_data()
+                    next_odd_data = now + self._odd_random.expovariate(
+                        1 / _MEAN_ODD_DATA_INTERVAL_S
+                    )
                 self._run_due_repairs(now)
                 self._restart_exited()
                 time.sleep(0.05)
@@ -192,6 +247,17 @@
 
         self._pending_repairs.append((time.monotonic() + duration_s, repair))
 
+    def _leave_odd_data(self):
+        """Write one odd row, or send an odd heartbeat or frame to a process."""
+        chosen = self._odd_random
+        value = chosen.choice(_ODD_VALUES)
+        name = f"odd-{chosen.randrange(20)}"
+        self._cluster.put_row(chosen.choice(_ODD_PREFIXES) + name, value)
+        agent = f"agent-worker-{chosen.randrange(WORKERS)}"
+        self._cluster.send_heartbeat(agent, name, value)
+        target = chosen.choice([*self._cluster.entries, agent])
+        self._cluster.send_bytes(target, len(value).to_bytes(4, "big") + value)
+
     def _restart_exited(self):
         """Restart processes that exited without a fault, as the platform does."""
         for name, process in list(self._cluster.processes.items()):
@@ -202,6 +268,7 @@
                 and process.poll() is not None
             ):
                 self.faults.append(("ended by itself", name, 0))
+                self._ended_by_themselves.append(name)
                 self._cluster.start_again(name)
 
     def _run_due_repairs(self, now):
@@ -237,6 +304,7 @@
             for number in range(WORKERS)
             for event in self._cluster.history(f"worker-{number}")
         ]
+        violations += [f"{name} ended by itself" for name in self._ended_by_themselves]
         return violations + self._check(history)
 
     def _state(self, entry, job_id):
--- a/packages/wire/src/samphiredeal/wire/link.py
+++ b/packages/wire/src/samphiredeal/wire/link.py
@@ -6,6 +6,7 @@
 over TCP with length-prefixed frames; tests use links in memory.
 """
 
+from eliot import log_message
 from twisted.internet.defer import fail
 from twisted.internet.endpoints import TCP4ClientEndpoint, TCP4ServerEndpoint
 from twisted.internet.protocol import Factory
@@ -48,14 +49,19 @@
         """Decode a frame and pass on the message; close the link if malformed."""
         try:
             message = codec.decode(string)
-        except codec.DecodeError:
-            self.close()
+        except codec.DecodeError as error:
+            self._refuse_frame(str(error))
             return
         self.on_message(self, message)
 
+    def _refuse_frame(self, reason):
+        peer = getattr(self.transport.getPeer(), "host", "")
+        log_message(message_type="frame_unreadable", peer=peer, reason=reason)
+        self.close()
+
     def lengthLimitExceeded(self, length):
         """Close the link: the frame announces more than `MAX_LENGTH` bytes."""
-        self.close()
+        self._refuse_frame(f"{length} bytes exceed the limit of {self.MAX_LENGTH}")
 
     def connectionLost(self, reason):
         """Notify the owner that the connection is closed."""
