Count only unbroken reports of an agent that knows no worker

The scheduler counted a lease from the first report without a worker, and gave the worker's runs up from a timer. An agent that is cut off after that report can learn of its worker and extend the lease by the store's word until it is evicted; the task then ran twice at once.

Change: the check is made when such a report arrives, and starts over after a gap between reports. The scheduler's tick does no work for it any more.

--- a/packages/entry/src/samphiredeal/entry/graphs/sessions.py
+++ b/packages/entry/src/samphiredeal/entry/graphs/sessions.py
@@ -41,7 +41,7 @@
         self.retry_at = now
         self.last_report_at = None
         self.no_report_since = now
-        # Since when the agent has reported that it knows no worker.
+        # Since when all reports, without a gap, say that the agent knows no worker.
         self.no_worker_since = None
         self.report = None
         self.report_number = 0
@@ -101,7 +101,6 @@
             if no_report_s > EVICT_AFTER_S:
                 self._evict(session, now)
             self._fail_if_lease_lapsed(session, now)
-            self._fail_if_worker_missing(session, now)
             if session.failed and no_report_s > _REMOVE_AFTER_S:
                 self._remove_worker(session)
 
@@ -226,14 +225,11 @@
             )
         if session.name in self._host.view.evicted:
             self._revoke_eviction(session)
+        self._check_worker_known(session, report, now)
         session.evicting, session.evicted_at, session.failed = False, None, False
         session.last_report_at = session.no_report_since = now
         session.report = report
         session.report_number = message.number
-        if report.worker is not None:
-            session.no_worker_since = None
-        elif session.no_worker_since is None:
-            session.no_worker_since = now
         incarnation = report.worker.life if report.worker else ""
         if incarnation != session.incarnation:
             session.incarnation = incarnation
@@ -318,15 +314,21 @@
                 session.name, "no response until its lease had expired"
             )
 
-    def _fail_if_worker_missing(self, session, now):
+    def _check_worker_known(self, session, report, now):
         """Treat a worker's runs as failed if its agent has not known it for a lease.
 
         A worker that exits while its agent restarts is never reported as ended: the
-        new agent has not heard from it, and so does not extend its lease either.
+        new agent has not heard from it, and so does not extend its lease either. Only
+        reports in close succession show that; between others it may have done both.
         """
-        since = session.no_worker_since
-        if since is not None and now > since + self._host.lease_wait_s:
-            session.no_worker_since = float("inf")
+        if report.worker is not None:
+            session.no_worker_since = None
+            return
+        is_gap = now - session.no_report_since > UNRESPONSIVE_AFTER_S
+        if session.no_worker_since is None or is_gap:
+            session.no_worker_since = now
+        elif now - session.no_worker_since > self._host.lease_wait_s:
+            session.no_worker_since = now
             self._dispatcher.scheduler.mark_worker_failed(
                 session.name, "its agent has known no worker until its lease expired"
             )
--- a/tests/test_restarted_agents.py
+++ b/tests/test_restarted_agents.py
@@ -93,3 +93,29 @@
     assert len(world.event_log.starts("a1.0.0.0")) == 2
     world.run(10.0)
     assert world.state(world.scheduler(), "a1") == "completed"
+
+
+def test_work_is_not_doubled_if_a_restarted_agent_is_cut_off_before_it_knows_more():
+    """The agent reports no worker, and hears from it only when nobody hears the agent.
+
+    The store, which it still reaches, lets it extend the lease until it is evicted, so
+    its first report does not show when the lease expires.
+    """
+    world = make_graph_world(workers=2)
+    step = {"count": 1, "gpu": 8, "estimated-ms": LONG_MS}
+    world.submit("e0", "a1", [step])
+    world.run_until(lambda: world.event_log.starts("a1.0.0.0"), 5.0)
+    world.run(2.0)
+    (start,) = world.event_log.starts("a1.0.0.0")
+    worker = world.workers[start.worker]
+    worker.faults.down = True
+    restart_agent(world, start.worker, 0.1)
+    agent = world.nodes[start.worker].process
+    world.run_until(lambda: agent.lease_authority.epoch, 1.0)
+    world.run(0.1)
+    for entry in ("e0", "e1", "e2"):
+        world.network.cut(start.worker, entry)
+    worker.faults.down = False
+    world.run(2 * lease_wait_s(LEASE_S))
+    assert world.event_log.overlaps() == []
+    assert len(world.event_log.starts("a1.0.0.0")) == 2
