Read the change again: one paging loop, plain defaults, tests of cut lists

Lists cut at 500 completions had no test.

Change: scan_all serves jobstore as well; the rest is said plainly or once; job steps and check_invariants live in the builder modules, unchanged.

--- a/bench/lost.py
+++ b/bench/lost.py
@@ -46,7 +46,6 @@
     "its job is failed": "failed",
     "its room is reclaimed": "reclaimed",
     "its worker is leaving": "leaving",
-    "its worker will leave": "leaving",
     "its worker's incarnation has ended": "crashed",
     "no response until its lease": "evicted",
     "its agent has known no worker": "evicted",
@@ -74,6 +73,7 @@
     """The unfinished runs of a day, by the events of its log."""
 
     def __init__(self, events):
+        # Cores of a member, by unit: (job, occurrence, step) or that and the index.
         self._cores = {}
         self._run_starts = {}
         self._leaving = set()
@@ -87,19 +87,10 @@
     def lost_runs(self):
         """Return the `LostRun` of each run, in the order of their ends."""
         causes = {}
-        for _at, task, run, cause, _core_s in self._ends:
-            unit = (*_unit_of(task, self._gangs), run)
-            if causes.get(unit, "other") == "other":
-                causes[unit] = cause
-        return [
-            LostRun(at, task, causes[(*_unit_of(task, self._gangs), run)], core_s)
-            for at, task, run, _cause, core_s in self._ends
-        ]
-
-    @property
-    def _gangs(self):
-        """The (job, occurrence, step) of the steps that are gangs."""
-        return {unit for unit in self._cores if len(unit) == 3}
+        for unit_run, lost_run in self._ends:
+            if causes.get(unit_run, "other") == "other":
+                causes[unit_run] = lost_run.cause
+        return [one._replace(cause=causes[unit_run]) for unit_run, one in self._ends]
 
     def _on_unit_placed(self, at, node, fields):
         unit = (fields["job"], *fields["unit"].split("."))
@@ -136,14 +127,14 @@
         worked_s = at - begun_at
         if fields.get("saved"):
             worked_s = min(worked_s, RESUME_S)
-        cores = self._cores.get(_unit_of(task, self._gangs), 0.0)
-        self._ends.append((at, task, run, cause, cores * worked_s))
-
-
-def _unit_of(task, gangs):
-    """Return the key of a task's unit: that of its gang, or its own."""
-    name = tuple(task.split("."))
-    return name[:3] if name[:3] in gangs else name
+        unit = self._unit_of(task)
+        core_s = self._cores.get(unit, 0.0) * worked_s
+        self._ends.append(((*unit, run), LostRun(at, task, cause, core_s)))
+
+    def _unit_of(self, task):
+        """Return the key of a task's unit: that of its gang, or its own."""
+        name = tuple(task.split("."))
+        return name[:3] if name[:3] in self._cores else name
 
 
 def _cause_of(reason):
--- a/packages/agent/tests/test_run_manager.py
+++ b/packages/agent/tests/test_run_manager.py
@@ -208,3 +208,20 @@
     bench = AgentBench().order([1]).run(2.0)
     (running,) = bench.run_manager.report().running
     assert running.still_looks == 0 and running.percent > 0
+
+
+def test_stopped_run_that_a_cut_list_leaves_out_is_not_reported_as_stopped():
+    """Its completion may be among those that the worker did not list."""
+    bench = AgentBench().order(starts=[1]).run(1.0)
+    complete_poll = bench.worker._poll_result
+
+    def cut_poll():
+        return complete_poll()._replace(running=(), ended=(), complete=False)
+
+    bench.worker._poll_result = cut_poll
+    bench.order(stops=[1]).run(3.0)
+    assert bench.run_manager.report().refused == ()
+    bench.worker._poll_result = complete_poll
+    bench.run(3.0)
+    (ended,) = bench.run_manager.report().ended
+    assert ended.how == runs.STOPPED
--- a/packages/cli/tests/test_settings.py
+++ b/packages/cli/tests/test_settings.py
@@ -25,6 +25,17 @@
 }
 
 
+ENTRY = {
+    "name": "e",
+    "zone": "a",
+    "region": "r",
+    "host": "127.0.0.1",
+    "port": 7000,
+    "http_port": 80,
+    "platform_url": "http://127.0.0.1:1",
+}
+
+
 def write(tmp_path, document):
     path = tmp_path / "settings.json"
     path.write_text(document if isinstance(document, str) else json.dumps(document))
@@ -58,17 +69,8 @@
 
 
 def test_port_out_of_range(tmp_path):
-    document = {
-        "name": "e",
-        "zone": "a",
-        "region": "r",
-        "host": "127.0.0.1",
-        "port": 70000,
-        "http_port": 80,
-        "platform_url": "http://127.0.0.1:1",
-    }
     with pytest.raises(SettingsError, match="port: 70000"):
-        load(write(tmp_path, document), EntrySettings)
+        load(write(tmp_path, {**ENTRY, "port": 70000}), EntrySettings)
 
 
 @pytest.mark.parametrize(
@@ -101,15 +103,7 @@
 
 
 def test_ports_of_one_address_must_differ(tmp_path):
-    entry = {
-        "name": "e1",
-        "zone": "a",
-        "region": "r",
-        "host": "127.0.0.1",
-        "port": 7000,
-        "http_port": 7000,
-        "platform_url": "http://127.0.0.1:1",
-    }
+    entry = {**ENTRY, "http_port": 7000}
     with pytest.raises(SettingsError, match="http_port: 7000 is also port"):
         load(write(tmp_path, entry), EntrySettings)
     other_host = {**entry, "http_host": "127.0.0.2"}
--- a/packages/entry/src/samphiredeal/entry/jobstore.py
+++ b/packages/entry/src/samphiredeal/entry/jobstore.py
@@ -18,11 +18,11 @@
     Put,
     Row,
     Unavailable,
+    scan_all,
     write_until_resolved,
 )
 
 SUBMIT_TIMEOUT_S = 3.0
-_PAGE_ROWS = 100
 _FINISH_RETRY_S = 1.0
 
 
@@ -126,15 +126,10 @@
 
     async def all_active(self):
         """Return the records of all active jobs, or an `Unavailable`."""
-        records, after = [], ""
-        while True:
-            page = await self.list("active", after, _PAGE_ROWS)
-            if isinstance(page, Unavailable):
-                return page
-            records += page
-            if len(page) < _PAGE_ROWS:
-                return records
-            after = page[-1].job.id
+        rows = await scan_all(self._table, self._active_key(""))
+        if isinstance(rows, Unavailable):
+            return rows
+        return [_decode(row.value) for row in rows]
 
     async def cancel(self, job_id):
         """Mark a job as cancelled; return its record, None or an `Unavailable`."""
--- a/packages/platform/src/samphiredeal/platform/executor.py
+++ b/packages/platform/src/samphiredeal/platform/executor.py
@@ -220,16 +220,14 @@
 def _capacity(fields):
     if not isinstance(fields, dict):
         raise ValueError("capacity: expected an object")
-    bounds = {
-        "cpu": _MAX_CPU_MILLI,
-        "mem-mb": _MAX_MEMORY_MB,
-        "gpu": _MAX_ACCELERATORS,
-    }
+
+    def amount(name, high):
+        return untrusted.integer(f"capacity.{name}", fields.get(name, 0), 0, high)
+
     return Shape(
-        *(
-            untrusted.integer(f"capacity.{name}", fields.get(name, 0), 0, high)
-            for name, high in bounds.items()
-        )
+        amount("cpu", _MAX_CPU_MILLI),
+        amount("mem-mb", _MAX_MEMORY_MB),
+        amount("gpu", _MAX_ACCELERATORS),
     )
 
 
--- a/packages/policy/tests/test_agent_restart.py
+++ b/packages/policy/tests/test_agent_restart.py
@@ -113,3 +113,15 @@
     assert bench.scheduler.orders_for("w0", 0.1) == ([], [])
     bench.step(0.2)
     assert bench.places("a") == ["w0"]
+
+
+def test_run_that_a_cut_list_leaves_out_is_not_ordered_again():
+    """It may be among the completions that the worker did not list."""
+    bench = make_running_gang()
+    bench.running["w0"].clear()
+    bench.now += 0.5
+    bench.report("w0", complete=False)
+    bench.scheduler.plan(bench.now, int(bench.now * 1000))
+    assert bench.scheduler.orders_for("w0", bench.now) == ([], [])
+    bench.report("w0")
+    assert bench.scheduler.orders_for("w0", bench.now)[0]
--- a/packages/wire/src/samphiredeal/wire/orders.py
+++ b/packages/wire/src/samphiredeal/wire/orders.py
@@ -15,9 +15,11 @@
 
 
 def _without_trailing_defaults(value):
-    fields, defaults = value._fields, value._field_defaults
-    used = len(fields)
-    while used and defaults.get(fields[used - 1], value) == value[used - 1]:
+    defaults = value._field_defaults
+    used = len(value)
+    for name, content in zip(reversed(value._fields), reversed(value), strict=True):
+        if name not in defaults or defaults[name] != content:
+            break
         used -= 1
     return value[:used]
 
--- a/tests/graph_builders.py
+++ b/tests/graph_builders.py
@@ -6,6 +6,10 @@
 from samphiredeal.policy.graphs.scheduler import GraphScheduler
 
 SERVICE = "desk"
+# Steps of submitted jobs.
+STEP = {"count": 2, "cpu": 1000, "mem-mb": 1000, "gpu": 1, "estimated-ms": 1000}
+LONG = {**STEP, "estimated-ms": 8000}
+GANG = {**LONG, "count": 3, "gang": True, "gpu": 2, "cpu": 2000, "mem-mb": 2000}
 
 
 def make_step(count=1, accelerators=1, **fields):
--- a/tests/graph_world.py
+++ b/tests/graph_world.py
@@ -19,6 +19,7 @@
 from samphiredeal.model import answers
 from samphiredeal.model.answers import Call
 from samphiredeal.model.graph import parse_task_name
+from samphiredeal.model.shape import Shape
 from samphiredeal.platform.memory import Faults, MemoryTable
 from samphiredeal.platform.memory_worker import Gangs, MemoryWorker, Work
 from samphiredeal.platform.settings import Bounds
@@ -324,3 +325,14 @@
     world.run_until(world.scheduler, 3.0)
     world.run(2.0)
     return world
+
+
+def check_invariants(world):
+    """Check that no task overlapped itself and no worker exceeded its capacity."""
+    assert world.event_log.overlaps() == []
+
+    def shape_of(task):
+        step = world.specs[task.split(".")[0]]["steps"][int(task.split(".")[2])]
+        return Shape(step["cpu"], step["mem-mb"], step["gpu"])
+
+    assert world.event_log.over_capacity(shape_of, Shape(8000, 8000, 8)) == []
--- a/tests/test_graph_path.py
+++ b/tests/test_graph_path.py
@@ -6,27 +6,12 @@
 """
 
 import pytest
-from graph_world import LEASE_S, make_graph_world
+from graph_builders import GANG, LONG, STEP
+from graph_world import LEASE_S, check_invariants, make_graph_world
 
 from samphiredeal.model import answers
-from samphiredeal.model.shape import Shape
 from samphiredeal.platform.table import Condition
 
-STEP = {"count": 2, "cpu": 1000, "mem-mb": 1000, "gpu": 1, "estimated-ms": 1000}
-LONG = {**STEP, "estimated-ms": 8000}
-GANG = {**LONG, "count": 3, "gang": True, "gpu": 2, "cpu": 2000, "mem-mb": 2000}
-
-
-def check_invariants(world):
-    """Check that no task overlapped itself and no worker exceeded its capacity."""
-    assert world.event_log.overlaps() == []
-
-    def shape_of(task):
-        step = world.specs[task.split(".")[0]]["steps"][int(task.split(".")[2])]
-        return Shape(step["cpu"], step["mem-mb"], step["gpu"])
-
-    assert world.event_log.over_capacity(shape_of, Shape(8000, 8000, 8)) == []
-
 
 def test_steps_run_in_order_and_complete():
     world = make_graph_world()
--- a/tests/test_operator_reports.py
+++ b/tests/test_operator_reports.py
@@ -7,8 +7,14 @@
 
 import msgspec
 import pytest
-from graph_world import HEARTBEAT_S, KEY, LEASE_S, make_graph_world
-from test_graph_path import GANG, STEP, check_invariants
+from graph_builders import GANG, STEP
+from graph_world import (
+    HEARTBEAT_S,
+    KEY,
+    LEASE_S,
+    check_invariants,
+    make_graph_world,
+)
 from twisted.internet.defer import ensureDeferred
 
 from samphiredeal.agent.graphs.run_manager import POLL_WAIT_S
