Say malformed where the change said odd

The usual term of the field, in names, comments, docs and test data; the soak's seed text and the names that it writes stay, so that its seeds draw what they drew.

--- a/packages/entry/src/samphiredeal/entry/burn.py
+++ b/packages/entry/src/samphiredeal/entry/burn.py
@@ -148,7 +148,7 @@
         return None
     try:
         document = untrusted.decode_json(data)
-        # An error here shows an odd document before it is added to the others.
+        # An error here shows a malformed document before it is added to the others.
         burns(merge([document], 0)[0], 0, {})
     except (AttributeError, KeyError, TypeError, ValueError) as error:
         reason = f"{type(error).__name__}: {error}"[:300]
--- a/packages/entry/src/samphiredeal/entry/graphs/work.py
+++ b/packages/entry/src/samphiredeal/entry/graphs/work.py
@@ -147,7 +147,7 @@
             except ValueError as error:
                 log_unreadable_row(row, error)
             except Exception as error:
-                # One odd row must not keep the others from being applied.
+                # One malformed row must not keep the others from being applied.
                 write_traceback()
                 log_unreadable_row(row, error)
         self._on_change()
--- a/packages/entry/src/samphiredeal/entry/lease.py
+++ b/packages/entry/src/samphiredeal/entry/lease.py
@@ -67,7 +67,7 @@
 
 
 def _decode_entry(row):
-    """Return the `EntryRow` of a row, or None if another writer left it odd."""
+    """Return the `EntryRow` of a row, or None if another writer left it malformed."""
     try:
         fields = untrusted.decode_json(row.value)
         entry = EntryRow(**fields)
@@ -81,7 +81,7 @@
 
 
 def _decode_holder(row):
-    """Return the `HolderRow` of a row, or None if it is absent or odd."""
+    """Return the `HolderRow` of a row, or None if it is absent or malformed."""
     if not row.version:
         return None
     try:
--- a/packages/entry/tests/test_burn.py
+++ b/packages/entry/tests/test_burn.py
@@ -102,11 +102,11 @@
 
 
 @pytest.mark.parametrize("data", [b"[" * 100_000, b"{}", b"7", b"\xff", b""])
-def test_odd_counts_of_another_entry_are_left_out(data):
+def test_malformed_counts_of_another_entry_are_left_out(data):
     wall, table, objects = Wall(), MemoryTable(), MemoryObjects()
-    odd = ReportStore(table, objects, "odd")
-    call_in_reactor(lambda: odd.save(make_counts(wall, ran=1)))
-    call_in_reactor(lambda: objects.put("report/odd", data))
+    malformed = ReportStore(table, objects, "malformed")
+    call_in_reactor(lambda: malformed.save(make_counts(wall, ran=1)))
+    call_in_reactor(lambda: objects.put("report/malformed", data))
     store = ReportStore(table, objects, "here")
     counts = make_counts(wall, ran=1)
     report = call_in_reactor(lambda: make_report(counts, store, {}))
--- a/packages/entry/tests/test_lease.py
+++ b/packages/entry/tests/test_lease.py
@@ -1,4 +1,4 @@
-"""Lease rows of entries and of the scheduler, also beside odd rows."""
+"""Lease rows of entries and of the scheduler, also beside malformed rows."""
 
 import msgspec
 import pytest
@@ -10,7 +10,15 @@
 from samphiredeal.platform.table import Put
 
 DEEP = b"[" * 100_000 + b"]" * 100_000
-ODD_VALUES = [DEEP, b"", b"7", b"{}", b"[]", b'{"epoch":1e308,"holder":"x"}', b"\xff"]
+MALFORMED_VALUES = [
+    DEEP,
+    b"",
+    b"7",
+    b"{}",
+    b"[]",
+    b'{"epoch":1e308,"holder":"x"}',
+    b"\xff",
+]
 
 
 def entry_row(name, **fields):
@@ -36,17 +44,17 @@
     assert sorted(renewed(table).members) == names
 
 
-@pytest.mark.parametrize("value", ODD_VALUES)
-def test_odd_row_is_no_member_and_hides_no_other(value):
+@pytest.mark.parametrize("value", MALFORMED_VALUES)
+def test_malformed_row_is_no_member_and_hides_no_other(value):
     table = MemoryTable()
-    call_in_reactor(lambda: table.write([], [Put("entry/odd", value)]))
+    call_in_reactor(lambda: table.write([], [Put("entry/malformed", value)]))
     store_entry(table, "sound")
     store_entry(table, "large", beat=10**30)
     assert list(renewed(table).members) == ["sound"]
 
 
-@pytest.mark.parametrize("value", ODD_VALUES)
-def test_scheduler_lease_survives_an_odd_row(value):
+@pytest.mark.parametrize("value", MALFORMED_VALUES)
+def test_scheduler_lease_survives_a_malformed_row(value):
     table = MemoryTable()
     call_in_reactor(lambda: table.write([], [Put("scheduler/r", value)]))
     clock = Clock()
--- a/packages/model/src/samphiredeal/model/untrusted.py
+++ b/packages/model/src/samphiredeal/model/untrusted.py
@@ -1,7 +1,7 @@
 """Decoding of data that another process has written, within bounds.
 
 Size and nesting are checked before the data is decoded, and numbers against what
-they may be, so that one odd document is refused where it is read instead of
+they may be, so that one malformed document is refused where it is read instead of
 failing later, where it is used. All functions raise `ValueError` with the reason.
 
     >>> decode_json(b'{"port": 80}')
--- a/packages/model/tests/test_untrusted.py
+++ b/packages/model/tests/test_untrusted.py
@@ -33,7 +33,7 @@
 
 
 @pytest.mark.parametrize("value", [1e308, 2**53, -1, 1.5, "1", True, None, [1], {}])
-def test_odd_integer_is_refused_with_its_name(value):
+def test_malformed_integer_is_refused_with_its_name(value):
     with pytest.raises(ValueError, match="amount"):
         untrusted.integer("amount", value)
 
@@ -55,6 +55,6 @@
         7,
     ],
 )
-def test_odd_address_is_refused(address):
+def test_malformed_address_is_refused(address):
     with pytest.raises(ValueError, match="address"):
         untrusted.parse_address(address)
--- a/packages/platform/tests/test_odd_documents.py
+++ b/packages/platform/tests/test_malformed_documents.py
@@ -1,4 +1,4 @@
-"""Odd documents are refused where they are read, with a reason.
+"""Malformed documents are refused where they are read, with a reason.
 
 Operators of similar systems have seen processes end, or stop following a list, over
 one entry with very deep nesting, a number too large or a port out of range.
@@ -8,7 +8,7 @@
 import pytest
 from hypothesis import given, settings
 from hypothesis import strategies as st
-from odd_documents import DEEP, LARGE, LONG, ODD_VALUES, paths, with_value
+from malformed_documents import DEEP, LARGE, LONG, MALFORMED_VALUES, paths, with_value
 from twisted.internet.defer import ensureDeferred
 
 from samphiredeal.model.runs import RunId, StartOrder
@@ -113,16 +113,16 @@
 
 
 def cases(document):
-    """Return (path, odd JSON) for each value of a document."""
+    """Return (path, malformed JSON) for each value of a document."""
     return [
         pytest.param(path, value, id=f"{'.'.join(map(str, path))}-{value[:4].decode()}")
         for path in paths(document)
-        for value in ODD_VALUES
+        for value in MALFORMED_VALUES
     ]
 
 
 @pytest.mark.parametrize("path, value", cases(HEARTBEAT))
-def test_odd_heartbeat_is_refused_or_usable(path, value):
+def test_malformed_heartbeat_is_refused_or_usable(path, value):
     try:
         fields = decode_heartbeat("i-1", with_value(HEARTBEAT, path, value))
     except ValueError as error:
@@ -141,7 +141,7 @@
 
 
 @pytest.mark.parametrize("path, value", cases(LISTS))
-def test_odd_lists_of_a_worker_are_unavailable_or_usable(path, value):
+def test_malformed_lists_of_a_worker_are_unavailable_or_usable(path, value):
     client = ExecutorClient(Answering(with_value(LISTS, path, value)))
     answer = result(client.poll(1, 0, None, 0.0))
     assert isinstance(answer, PollResult | Unavailable)
@@ -149,9 +149,9 @@
 
 
 @pytest.mark.parametrize("status", [200, 400, 409, 503])
-@pytest.mark.parametrize("value", ODD_VALUES)
+@pytest.mark.parametrize("value", MALFORMED_VALUES)
 @pytest.mark.parametrize("name", ["clock-ms", "reason"])
-def test_odd_answer_to_an_order_does_not_fail_the_call(name, value, status):
+def test_malformed_answer_to_an_order_does_not_fail_the_call(name, value, status):
     body = with_value({"clock-ms": 9, "reason": "room"}, (name,), value)
     client = ExecutorClient(Answering(body, status))
     started = result(client.start(StartOrder("a.0.0.0", 1, "p"), 1, 9, 1.0))
@@ -172,7 +172,7 @@
 
 
 @pytest.mark.parametrize("path, value", cases(CONFIGURATION))
-def test_odd_configuration_is_refused_or_usable(path, value):
+def test_malformed_configuration_is_refused_or_usable(path, value):
     try:
         operations = operator.decode_operations(with_value(CONFIGURATION, path, value))
     except ValueError as error:
@@ -182,7 +182,7 @@
 
 
 @pytest.mark.parametrize("path, value", cases(JOB))
-def test_odd_job_is_refused_or_usable(path, value):
+def test_malformed_job_is_refused_or_usable(path, value):
     try:
         spec = callers.decode_job(with_value(JOB, path, value))
     except callers.BadRequest as error:
@@ -192,7 +192,7 @@
 
 
 @pytest.mark.parametrize("path, value", cases(ROWS))
-def test_odd_answer_of_the_store_never_fails_the_call(path, value):
+def test_malformed_answer_of_the_store_never_fails_the_call(path, value):
     table = HttpTable(Answering(with_value(ROWS, path, value)))
     answers = [result(table.snapshot()), result(table.changes(1, 0.0))]
     answers.append(result(table.write([Condition("k", 1)], [Put("k", b"")])))
@@ -207,7 +207,7 @@
 
 
 @pytest.mark.parametrize("path, value", cases(ADVICE))
-def test_odd_advice_is_unavailable_or_usable(path, value):
+def test_malformed_advice_is_unavailable_or_usable(path, value):
     client = AdviceClient(Answering(with_value(ADVICE, path, value)))
     answer = result(client.query("a.0.0", ["i-1"], 1.0))
     assert isinstance(answer, Advice | Unavailable)
@@ -215,7 +215,7 @@
 
 
 @pytest.mark.parametrize("header", ["nan", "inf", "-inf", "1e400", "x", "-5", None])
-def test_odd_deadline_of_a_caller_is_bounded(header):
+def test_malformed_deadline_of_a_caller_is_bounded(header):
     assert 0.0 <= callers.wait_limit_s(header, 3.0) <= 300.0
 
 
--- a/packages/standins/src/samphiredeal/standins/soak.py
+++ b/packages/standins/src/samphiredeal/standins/soak.py
@@ -3,10 +3,10 @@
 Runs the real programs beside stand-ins, submits jobs and injects faults from outside:
 processes are killed, paused, stopped and restarted, and connections to the store and
 to workers are delayed, blocked in one or both directions, and reset. Another writer
-leaves odd rows in the store and sends odd heartbeats and frames. Then removes all
-faults and checks invariants from the job states and the workers' histories. The exit
-status is 1 if an invariant was violated; the logs of all processes stay in the folder
-that is printed.
+leaves malformed rows in the store and sends malformed heartbeats and frames. Then
+removes all faults and checks invariants from the job states and the workers' histories.
+The exit status is 1 if an invariant was violated; the logs of all processes stay in the
+folder that is printed.
 """
 
 import base64
@@ -30,10 +30,10 @@
 _MEAN_FAULT_INTERVAL_S = 1.5
 _FAULT_DURATION_S = (0.3, 4.0)
 _CANCEL_PROBABILITY = 0.15
-_MEAN_ODD_DATA_INTERVAL_S = 1.0
+_MEAN_MALFORMED_DATA_INTERVAL_S = 1.0
 _CONNECT_TIMEOUT_S = 0.5
 _DEEP = b"[" * 50_000 + b"]" * 50_000
-_ODD_VALUES = (
+_MALFORMED_VALUES = (
     _DEEP,
     b'["127.0.0.1:99999","zone-0"]',
     b'["127.0.0.1:-1","zone-0"]',
@@ -45,7 +45,7 @@
     b"\xff\xfe",
     b"",
 )
-_ODD_PREFIXES = ("worker/", "entry/", "job/", "progress/", "cancel/", "other/")
+_MALFORMED_PREFIXES = ("worker/", "entry/", "job/", "progress/", "cancel/", "other/")
 # Success, no response, and outcome unknown: an entry that was paused applies a cancel
 # after its caller has timed out.
 _MAY_HAVE_CANCELLED = (200, 0, 504)
@@ -118,8 +118,8 @@
 
     def __init__(self, seed, folder):
         self._random = random.Random(seed)
-        # Odd data must not change the other choices of a seed.
-        self._odd_random = random.Random(f"odd data {seed}")
+        # Malformed data must not change the other choices of a seed.
+        self._malformed_random = random.Random(f"odd data {seed}")
         self._cluster = SoakCluster(folder)
         self._accepted = {}
         self._refused = set()
@@ -135,7 +135,7 @@
         try:
             self._start()
             end_at = time.monotonic() + seconds
-            next_job = next_fault = next_odd_data = 0.0
+            next_job = next_fault = next_malformed_data = 0.0
             while time.monotonic() < end_at:
                 now = time.monotonic()
                 if now >= next_job:
@@ -146,10 +146,10 @@
                     next_fault = now + self._random.expovariate(
                         1 / _MEAN_FAULT_INTERVAL_S
                     )
-                if now >= next_odd_data:
-                    self._leave_odd_data()
-                    next_odd_data = now + self._odd_random.expovariate(
-                        1 / _MEAN_ODD_DATA_INTERVAL_S
+                if now >= next_malformed_data:
+                    self._leave_malformed_data()
+                    next_malformed_data = now + self._malformed_random.expovariate(
+                        1 / _MEAN_MALFORMED_DATA_INTERVAL_S
                     )
                 self._run_due_repairs(now)
                 self._restart_exited()
@@ -247,12 +247,12 @@
 
         self._pending_repairs.append((time.monotonic() + duration_s, repair))
 
-    def _leave_odd_data(self):
-        """Write one odd row, or send an odd heartbeat or frame to a process."""
-        chosen = self._odd_random
-        value = chosen.choice(_ODD_VALUES)
+    def _leave_malformed_data(self):
+        """Write a malformed row, and send a malformed heartbeat and a frame."""
+        chosen = self._malformed_random
+        value = chosen.choice(_MALFORMED_VALUES)
         name = f"odd-{chosen.randrange(20)}"
-        self._cluster.put_row(chosen.choice(_ODD_PREFIXES) + name, value)
+        self._cluster.put_row(chosen.choice(_MALFORMED_PREFIXES) + name, value)
         agent = f"agent-worker-{chosen.randrange(WORKERS)}"
         self._cluster.send_heartbeat(agent, name, value)
         target = chosen.choice([*self._cluster.entries, agent])
--- a/tests/odd_documents.py
+++ b/tests/malformed_documents.py
@@ -1,4 +1,4 @@
-"""Builders of odd documents, as other writers leave them beside sound ones."""
+"""Builders of malformed documents, as other writers leave them beside sound ones."""
 
 import msgspec
 
@@ -6,7 +6,7 @@
 # Accepted by JSON decoders, but too large for messages between processes.
 LARGE = b"1e308"
 LONG = b"123456789012345678901234567890"
-ODD_VALUES = (DEEP, LARGE, LONG, b"-1", b"null", b'"x"', b"true", b"{}", b"[[]]")
+MALFORMED_VALUES = (DEEP, LARGE, LONG, b"-1", b"null", b'"x"', b"true", b"{}", b"[[]]")
 
 
 def with_value(document, path, value):
--- a/tests/test_internal_errors.py
+++ b/tests/test_internal_errors.py
@@ -106,9 +106,9 @@
     assert entry.view.state_of("a1") == "completed"
 
 
-def test_odd_rows_do_not_disturb_the_others():
-    """Another writer leaves odd entries among those of the agents and the entries."""
-    odd_rows = [
+def test_malformed_rows_do_not_disturb_the_others():
+    """Another writer leaves malformed rows among those of agents and entries."""
+    malformed_rows = [
         DEEP_JSON,
         b'["10.0.0.9:99999","a"]',
         b'["10.0.0.9:-1","a"]',
@@ -120,10 +120,10 @@
         b"",
     ]
     world = make_graph_world()
-    for number, value in enumerate(odd_rows):
+    for number, value in enumerate(malformed_rows):
         for key in (work.worker_key, work.entry_key, work.job_key, work.progress_key):
-            world.table.write([], [Put(key(f"odd{number}"), value)])
-    world.table.write([], [Put("unknown/odd", b"x"), Put("odd", b"x")])
+            world.table.write([], [Put(key(f"malformed{number}"), value)])
+    world.table.write([], [Put("unknown/malformed", b"x"), Put("malformed", b"x")])
     world.run(1.0)
     assert run_job(world) == "completed"
     world.kill(world.scheduler())
@@ -134,10 +134,12 @@
     assert world.state(survivor, "b2") == "completed"
     for name in ("e0", "e1", "e2"):
         view = world.nodes[name].process.view
-        assert not any(one.startswith("odd") for one in (*view.workers, *view.entries))
+        assert not any(
+            one.startswith("malformed") for one in (*view.workers, *view.entries)
+        )
 
 
-def test_odd_epoch_and_heartbeat_rows_do_not_stop_the_scheduler():
+def test_malformed_epoch_and_heartbeat_rows_do_not_stop_the_scheduler():
     world = make_graph_world()
     for value in (b'{"number":1e400}', b'[123456789012345678901234567890,"e9","x"]'):
         world.table.write([], [Put(work.HEARTBEAT_KEY, value)])
