--- a/review/standins/deployment.py
+++ b/review/standins/deployment.py
@@ -12,6 +12,7 @@
 import sys
 import tempfile
 import time
+import traceback
 from typing import NamedTuple
 
 from standins.executor import Executor
@@ -24,6 +25,7 @@
 OTHER_KEY = "guild-key"
 ZONES = ("seoul-a", "daejeon-b", "daegu-c", "gwangju-d")
 _KILL_AFTER_S = 8.0
+_FIRST_PORT, _LAST_PORT, _BLOCK_PORTS = 10_000, 30_000, 200
 _READY_WITHIN_S = 30.0
 _HANBIT_BOUNDS = {
     "contact-ms": 3000,
@@ -101,7 +103,8 @@
         self._folder = pathlib.Path(tempfile.mkdtemp(prefix="review-"))
         self._record_path = pathlib.Path(case_folder) / "record.txt"
         self._record_file = self._record_path.open("w")
-        self._used_ports = set()
+        self._block_lock, self._next_port = _claim_ports()
+        self._block_end = self._next_port + _BLOCK_PORTS - 1
         self._began_at = time.monotonic()
         self._processes = {}
         self._commands = {}
@@ -230,6 +233,7 @@
         if self.store is not None:
             await self.store.stop()
         self._record_file.close()
+        self._block_lock.close()
         logs = os.environ.get("REVIEW_LOGS")
         if logs:
             shutil.copytree(self._folder, logs, dirs_exist_ok=True)
@@ -284,15 +288,12 @@
         return (self._folder / f"{name}.log").read_text(errors="replace").splitlines()
 
     def _new_ports(self, count):
-        """Return the first of `count` adjacent free ports.
-
-        They are below the range from which the system draws those of connections.
-        """
+        """Return the first of `count` adjacent free ports."""
         while True:
-            first = random.randrange(10_000, 30_000)
-            ports = set(range(first, first + count))
-            if not ports & self._used_ports and _are_free(ports):
-                self._used_ports |= ports
+            first, self._next_port = self._next_port, self._next_port + count
+            if self._next_port > self._block_end:
+                raise CannotRun("no free ports are left")
+            if _are_free(range(first, first + count)):
                 return first
 
     # Clients
@@ -328,6 +329,24 @@
         return status
 
 
+def _claim_ports():
+    """Return a socket that reserves a block of ports, and the first port to use.
+
+    The blocks are below the range from which the system draws those of connections.
+    """
+    blocks = list(range(_FIRST_PORT, _LAST_PORT - _BLOCK_PORTS, _BLOCK_PORTS))
+    random.shuffle(blocks)
+    for first in blocks:
+        lock = socket.socket()
+        try:
+            lock.bind((HOST, first))
+        except OSError:
+            lock.close()
+            continue
+        return lock, first + 1
+    raise CannotRun("no free block of ports")
+
+
 def _are_free(ports):
     for port in ports:
         with socket.socket() as probe:
@@ -385,13 +404,17 @@
 
 
 async def _run(case_folder, play, is_disturbed):
-    deployment = Deployment(case_folder)
     try:
-        broken = await play(deployment, is_disturbed)
+        deployment = Deployment(case_folder)
     except CannotRun as error:
-        deployment.record("cannot run", reason=error)
         print(f"cannot run: {error}")
         return 2
+    try:
+        broken = await play(deployment, is_disturbed)
+    except Exception as error:
+        deployment.record("cannot run", reason=f"{type(error).__name__}: {error}")
+        traceback.print_exc()
+        return 2
     else:
         for line in broken[:10]:
             deployment.record("BROKEN", what=line)
