--- a/review/standins/http.py
+++ b/review/standins/http.py
@@ -101,7 +101,9 @@
 
 async def call(port, method, path, document=None, headers=None, timeout_s=3.0):
     """Make one call on a new connection; return the `Reply`."""
-    with contextlib.suppress(OSError, asyncio.TimeoutError, EOFError, ValueError):
+    with contextlib.suppress(
+        OSError, asyncio.TimeoutError, EOFError, LookupError, ValueError
+    ):
         return await asyncio.wait_for(
             _call(port, method, path, document, headers or {}), timeout_s
         )
