--- a/review/2/case.py
+++ b/review/2/case.py
@@ -1,57 +1,46 @@
-"""A large repeated job comes; urgent work within its guarantee has to begin in time."""
+"""One tenant fills the cluster; another one's guaranteed work has to begin in time."""
 
 import asyncio
 import json
 import pathlib
 import sys
-import time
 
 sys.path.insert(0, str(pathlib.Path(__file__).resolve().parents[1]))
 
-from standins.deployment import HANBIT_LARGE, run_case  # noqa: E402
+from standins.deployment import (  # noqa: E402
+    HANBIT,
+    OTHER_KEY,
+    run_case,
+)
 
+EXECUTORS = 7
 GUARANTEED_GPUS = 8
-# Of `repertoire-check` in the site file: the widest step, the mean one, the number of
-# occurrences, the seconds between them, and the longest work.
-LARGEST_WIDTH = 230
-MEAN_WIDTH = 38
-OCCURRENCES = 4
-INTERVAL_MS = 4500
-WORK_MS = 22_000
-RECLAIM_S = HANBIT_LARGE.bounds["reclaim-ms"] / 1000
-URGENT_JOBS = 9
-URGENT_TASKS = 3
-LARGE_ID = "00000000000000aa"
-
-
-def large_job(width):
-    """Return a job that is wide but small in resources, and saves its progress."""
-    step = {"count": width, "cpu": 100, "mem-mb": 64, "estimated-ms": WORK_MS}
-    step["checkpointing"] = True
-    return {
-        "spec": json.dumps({"ms": WORK_MS, "saves": True}),
-        "steps": [step],
-        "repetitions": OCCURRENCES,
-        "start-at-ms": int(time.time() * 1000) + 1000,
-        "interval-ms": INTERVAL_MS,
-    }
+RECLAIM_S = HANBIT.bounds["reclaim-ms"] / 1000
+JOBS = 3
+TASKS = 4
 
 
 async def play(deployment, is_disturbed):
-    await deployment.start(HANBIT_LARGE, entries=2, executors=6)
+    await deployment.start(HANBIT, entries=2, executors=EXECUTORS)
     deployment.configure(GUARANTEED_GPUS)
     await deployment.wait_until_ready()
-    width = LARGEST_WIDTH if is_disturbed else MEAN_WIDTH
-    await deployment.submit(f"/late/{LARGE_ID}", large_job(width))
+    # The other tenant uses whatever is idle, at the lowest priority: half of the GPUs
+    # with each step.
+    gpus = EXECUTORS * HANBIT.capacity["gpu"]
+    filling = {"count": gpus // 2, "cpu": 1000, "mem-mb": 512, "gpu": 1}
+    filling["long-running"] = True
+    steps = [filling] * (2 if is_disturbed else 1)
+    document = {"spec": json.dumps({"lasts": True}), "steps": steps}
+    await deployment.submit("/late/00000000000000f1", document, key=OTHER_KEY)
+    await asyncio.sleep(10.0)
+    step = {"count": TASKS, "cpu": 1000, "mem-mb": 512, "gpu": 1, "estimated-ms": 1000}
+    document = {"spec": json.dumps({"ms": 1000}), "steps": [step]}
     broken = []
-    urgent = {"count": URGENT_TASKS, "cpu": 1000, "mem-mb": 512, "gpu": 1}
-    urgent["estimated-ms"] = 1000
-    job = {"spec": json.dumps({"ms": 1000}), "steps": [urgent]}
-    for number in range(URGENT_JOBS):
+    for number in range(JOBS):
         name = f"00000000000000b{number}"
-        status = await deployment.submit(f"/urgent/{name}", job, number)
+        status = await deployment.submit(f"/urgent/{name}", document, number)
         accepted_at = deployment.now()
-        await asyncio.sleep(RECLAIM_S + 1.5)
+        await asyncio.sleep(RECLAIM_S + 5.0)
         if status != 200:
             continue
         starts = [
@@ -60,17 +49,17 @@
             if event == "start" and fields["task"].startswith(name)
         ]
         begun = sum(at - accepted_at <= RECLAIM_S for at in starts)
-        if begun < URGENT_TASKS:
+        if begun < TASKS:
             broken.append(
                 f"RECLAIM: job {name}, accepted at {accepted_at:.3f}, had begun "
-                f"{begun} of {URGENT_TASKS} tasks {RECLAIM_S} s later"
+                f"{begun} of {TASKS} tasks {RECLAIM_S} s later, and {len(starts)} "
+                f"by {deployment.now() - accepted_at:.1f} s"
             )
-    row = deployment.store.value_of(f"progress/{LARGE_ID}") or b""
-    deployment.record("row of the large job", bytes=len(row))
-    refused = deployment.store.refused_writes
-    deployment.record("writes too large", count=len(refused))
-    for _, key, size in refused[:3]:
-        deployment.record("write too large", key=key, bytes=size)
+        if number == 0 and not starts:
+            # Two jobs together would still be within the guarantee.
+            state = (await deployment.call("GET", f"/urgent/{name}")).document
+            deployment.record("state", job=name, answer=state)
+            await deployment.call("DELETE", f"/urgent/{name}")
     return broken
 
 
