--- a/review/3/case.py
+++ b/review/3/case.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import json
+import os
 import pathlib
 import random
 import sys
@@ -66,4 +67,5 @@
     ]
 
 
-run_case(pathlib.Path(__file__).parent, play)
+is_disturbed = os.environ.get("TROUBLE", "1") != "0"
+run_case(pathlib.Path(__file__).parent, play, is_disturbed)
--- a/review/standins/deployment.py
+++ b/review/standins/deployment.py
@@ -394,12 +394,11 @@
     return found
 
 
-def run_case(case_folder, play):
+def run_case(case_folder, play, is_disturbed):
     """Run ``await play(deployment, is_disturbed)``; exit as the review's scripts do.
 
     `play` returns the lines that tell how the rule was broken, none if it held.
     """
-    is_disturbed = os.environ.get("TROUBLE", "1") != "0"
     sys.exit(asyncio.run(_run(case_folder, play, is_disturbed)))
 
 
@@ -409,6 +408,7 @@
     except CannotRun as error:
         print(f"cannot run: {error}")
         return 2
+    deployment.record("case", disturbed=is_disturbed)
     try:
         broken = await play(deployment, is_disturbed)
     except Exception as error:
