Settle runs of a worker that starts again before they run elsewhere

An executor crashes and is up again within 0.05 s. The agent, which has not noticed, passes a start on to the new incarnation or tries again one that the crash cut off. Then it hears the new incarnation's heartbeat, forgets its pending and answered starts and reports that the earlier incarnation has ended; the scheduler drops the placement and starts the task elsewhere, while the new incarnation runs it.

Until the next incarnation is known, starts in flight are pending.

Found on related paths with the same mend: a start answered by an incarnation whose heartbeat was not heard yet, a start in flight when two connections are refused, a heartbeat of another writer with or without a start time (also as the first one of a restarted agent), a takeover in between. Calls name the worker that they are meant for, so that one with another id does not apply them.

MemoryWorker lost a poll that was sent while it crashed; mended.

--- a/packages/agent/src/samphiredeal/agent/graphs/run_manager.py
+++ b/packages/agent/src/samphiredeal/agent/graphs/run_manager.py
@@ -1,9 +1,12 @@
 """Apply the scheduler's orders to the worker and track the runs there.
 
+A run is reported as refused only if it has certainly not begun, and a worker's
+incarnation as ended only if the worker itself has shown it; docs/PROOFS.md lists what
+proves either. Until then a run is reported as pending.
+
 A start without an answer may still take effect until its own deadline on the
-worker's clock has passed; until then it is reported as pending. Once a stop is
-acknowledged, the worker refuses to start that run, so a run that is not listed
-afterwards is reported as stopped.
+worker's clock has passed. Once a stop is acknowledged, the worker refuses to start
+that run, so a run that is not listed afterwards has been stopped.
 """
 
 from eliot import log_message, write_traceback
@@ -15,6 +18,7 @@
 from samphiredeal.model.runs import Refused, Report, RunId, Running
 from samphiredeal.model.timing import MAX_CLOCK_SLOWDOWN
 from samphiredeal.platform.executor import PollResult, Started
+from samphiredeal.platform.table import Unavailable
 
 # A poll blocks for up to this long until a run completes. It also sets how often
 # leases are extended and progress is reported.
@@ -41,6 +45,8 @@
 _DEAD_AFTER_REFUSED_CONNECTIONS = 2
 # Allowance for rounding and for the transmission of an order, added to its deadline.
 _DEADLINE_MARGIN_S = 0.1
+# How long after its first try a start may take effect, by this VM's clock.
+_START_EFFECT_S = START_VALID_S / (1 - MAX_CLOCK_SLOWDOWN) + _DEADLINE_MARGIN_S
 # Pauses between polls. The first batches completions that occur close together into
 # one report.
 _COMPLETIONS_PAUSE_S = 0.06
@@ -48,12 +54,18 @@
 
 
 class _PendingStart:
-    """A start order whose outcome is unknown; `expires_at` bounds its effect."""
+    """A start order whose outcome is unknown.
+
+    `life` is the incarnation of the worker that it was decided for. `expires_at` bounds
+    its effect.
+    """
 
-    def __init__(self, order, began_at):
+    def __init__(self, order, life, began_at):
         self.order = order
+        self.life = life
         self.began_at = began_at
         self.expires_at = None
+        self.in_flight = False
 
 
 class _PendingStop:
@@ -79,6 +91,8 @@
         self._poll_count = 0
         self._polled_at = clock.seconds()
         self._completions_recorded = 0
+        # The incarnation that the last answer to a poll came from.
+        self._polled_incarnation = ""
         self._ended_incarnation = ""
         self._refused_connections = 0
         self._pending_starts = {}
@@ -154,18 +168,62 @@
             self._on_change()
 
     def _begin_incarnation(self, previous, facts):
+        """Poll a new incarnation; only its answer shows that the earlier one ended."""
         log_message(
             message_type="worker_life",
             life=facts.life,
             before=previous.life if previous else "",
         )
-        if previous is not None:
-            self._ended_incarnation = previous.life
         self._facts = facts
         self._last_poll = None
         self._worker_clock = None
-        self._completions_recorded = 0
         self._refused_connections = 0
+        if previous is not None:
+            self._schedule_poll(_POLL_PAUSE_S)
+
+    def _confirm_incarnation(self):
+        """Drop the state of an earlier incarnation once the new one has answered.
+
+        The scheduler learns from the report that the earlier one has ended. It has the
+        runs stopped that the new one does not list, since a start in flight may still
+        reach it.
+        """
+        life = self._facts.life
+        if self._polled_incarnation not in ("", life):
+            log_message(
+                message_type="worker_replaced",
+                life=life,
+                before=self._polled_incarnation,
+                starts_in_doubt=len(self._pending_starts),
+            )
+            self._ended_incarnation = self._polled_incarnation
+        if self._polled_incarnation != life:
+            self._completions_recorded = 0
+            self._forget_orders()
+        self._polled_incarnation = life
+
+    def _end_incarnation(self, life, starts_in_doubt):
+        """Report that an incarnation has ended; the next one is not known yet.
+
+        The starts in doubt may have begun in the next one and stay pending.
+        """
+        log_message(
+            message_type="worker_gone",
+            life=life,
+            starts_in_doubt=len(starts_in_doubt),
+        )
+        self._ended_incarnation = life
+        self._polled_incarnation = ""
+        self._forget_worker()
+        self._forget_orders()
+        self._pending_starts.update(starts_in_doubt)
+
+    def _forget_worker(self):
+        self._facts = None
+        self._last_poll = None
+        self._on_change()
+
+    def _forget_orders(self):
         for entries in (
             self._pending_starts,
             self._acknowledged_starts,
@@ -210,66 +268,88 @@
         if self._is_listed(run):
             self._on_change()
             return
+        start = _PendingStart(order, self._facts.life, self._clock.seconds())
         if self._facts.leaving:
             self._refuse(run, runs.LEAVING)
             return
         if not self._authority.authorized or self._worker_clock is None:
             self._refuse(run, runs.UNHEALTHY)
             return
-        start = self._pending_starts[run] = _PendingStart(order, self._clock.seconds())
+        self._pending_starts[run] = start
         ensureDeferred(self._start(run, start)).addErrback(_log_failure)
 
     async def _start(self, run, start):
         deadline_ms = self._worker_now_ms() + int(START_VALID_S * 1000)
         began_at, epoch = start.began_at, self._authority.epoch
-        answered = True
-        while self._pending_starts.get(run) is start:
+        # Whether no earlier try can take effect any more.
+        is_only_try = True
+        while self._is_current(run, start):
             if run in self._pending_stops:
                 break
+            start.in_flight = True
             answer = await self._calls.start(
-                start.order, epoch, deadline_ms, START_TIMEOUT_S
+                start.order, epoch, deadline_ms, START_TIMEOUT_S, self._facts.id
             )
-            if self._pending_starts.get(run) is not start:
+            start.in_flight = False
+            if not self._is_current(run, start):
+                if is_only_try:
+                    self._resolve_start_to_ended_worker(run, start, answer)
                 return
             if isinstance(answer, Started):
                 del self._pending_starts[run]
                 self._acknowledged_starts[run] = self._clock.seconds()
                 self._schedule_early_polls()
-                self._log_start(run, epoch, "started", began_at)
+                self._log_start(run, start, "started")
                 self._on_change()
                 return
             overdue = self._clock.seconds() - began_at > _START_GIVE_UP_S
             if isinstance(answer, Refused):
-                if answer.reason != runs.UNHEALTHY or (overdue and answered):
-                    self._start_refused(run, answer.reason, epoch, began_at)
+                if answer.reason != runs.UNHEALTHY or (overdue and is_only_try):
+                    self._start_refused(run, start, answer.reason)
                     return
             else:
-                answered = answered and answer.not_applied
+                is_only_try = is_only_try and answer.not_applied
             if overdue:
                 break
             await deferLater(self._clock, _RETRY_S)
-        self._log_start(run, epoch, "unanswered", began_at)
-        valid_s = START_VALID_S / (1 - MAX_CLOCK_SLOWDOWN) + _DEADLINE_MARGIN_S
-        start.expires_at = began_at + valid_s
-        self._on_change()
+        if self._pending_starts.get(run) is start:
+            self._log_start(run, start, "unanswered")
+            start.expires_at = began_at + _START_EFFECT_S
+            self._on_change()
+
+    def _is_current(self, run, start):
+        """Return whether a start is pending for the worker's present incarnation."""
+        facts = self._facts
+        is_pending = self._pending_starts.get(run) is start
+        return is_pending and facts is not None and facts.life == start.life
+
+    def _resolve_start_to_ended_worker(self, run, start, answer):
+        """Drop a start whose worker has ended unless a next one may have begun it."""
+        is_unresolved = self._pending_starts.get(run) is start
+        had_no_effect = isinstance(answer, Refused) or (
+            isinstance(answer, Unavailable) and answer.not_applied
+        )
+        if is_unresolved and had_no_effect:
+            del self._pending_starts[run]
+            self._on_change()
 
-    def _start_refused(self, run, reason, epoch, began_at):
+    def _start_refused(self, run, start, reason):
         del self._pending_starts[run]
-        self._log_start(run, epoch, reason, began_at)
+        self._log_start(run, start, reason)
         if reason == runs.OLD_RUN and self._is_listed(run):
             self._on_change()
             return
         self._refuse(run, reason)
 
-    def _log_start(self, run, epoch, outcome, began_at):
+    def _log_start(self, run, start, outcome):
         log_message(
             message_type="run_start",
             task=run.task,
             run=run.run,
-            epoch=epoch,
-            life=self._facts.life if self._facts else "",
+            epoch=self._authority.epoch,
+            life=start.life,
             outcome=outcome,
-            took_ms=round((self._clock.seconds() - began_at) * 1000, 1),
+            took_ms=round((self._clock.seconds() - start.began_at) * 1000, 1),
         )
 
     def _refuse(self, run, reason):
@@ -284,10 +364,14 @@
 
     async def _stop(self, run, stop):
         while self._pending_stops.get(run) is stop and not self._stopped:
-            answer = await self._calls.stop(run, self._authority.epoch, _STOP_TIMEOUT_S)
+            worker_id = self._facts.id if self._facts is not None else ""
+            answer = await self._calls.stop(
+                run, self._authority.epoch, _STOP_TIMEOUT_S, worker_id
+            )
             if answer is True:
                 stop.answered_at = self._clock.seconds()
                 log_message(message_type="run_stop", task=run.task, run=run.run)
+                self._schedule_poll(_POLL_PAUSE_S)
                 return
             await deferLater(self._clock, _RETRY_S)
 
@@ -328,7 +412,11 @@
                 deadline_ms = self._worker_now_ms() + int(self._lease_max_s * 1000)
         began_at = self._clock.seconds()
         answer = await self._calls.poll(
-            self._authority.epoch, self._completions_recorded, deadline_ms, wait_s
+            self._authority.epoch,
+            self._completions_recorded,
+            deadline_ms,
+            wait_s,
+            facts.id,
         )
         if self._facts is None or self._facts.life != facts.life:
             return 0
@@ -346,11 +434,15 @@
     def _schedule_early_polls(self):
         """Poll soon after a start; a blocking poll only reports completions early."""
         for delay_s in _EARLY_POLL_DELAYS_S:
-            if delay_s not in self._scheduled_polls:
-                self._scheduled_polls.add(delay_s)
-                self._clock.callLater(delay_s, self._early_poll, delay_s)
+            self._schedule_poll(delay_s)
 
-    def _early_poll(self, delay_s):
+    def _schedule_poll(self, delay_s):
+        """Poll after a delay beside the blocking poll, once for all that ask for it."""
+        if delay_s not in self._scheduled_polls:
+            self._scheduled_polls.add(delay_s)
+            self._clock.callLater(delay_s, self._scheduled_poll, delay_s)
+
+    def _scheduled_poll(self, delay_s):
         self._scheduled_polls.discard(delay_s)
         if self._facts is not None and not self._stopped:
             ensureDeferred(self._poll_concurrently(self._facts)).addErrback(
@@ -360,7 +452,7 @@
     async def _poll_concurrently(self, facts):
         began_at = self._clock.seconds()
         answer = await self._calls.poll(
-            self._authority.epoch, self._completions_recorded, None, 0.0
+            self._authority.epoch, self._completions_recorded, None, 0.0, facts.id
         )
         is_same_incarnation = self._facts is not None and self._facts.life == facts.life
         if is_same_incarnation and isinstance(answer, PollResult):
@@ -380,35 +472,38 @@
             self._refused_connections + 1 if answer.nobody_listens else 0
         )
         if self._refused_connections >= _DEAD_AFTER_REFUSED_CONNECTIONS:
-            log_message(
-                message_type="worker_gone", life=facts.life, reason=answer.reason
-            )
-            self._ended_incarnation = facts.life
-            self._facts = None
-            self._last_poll = None
-            for entries in (
-                self._pending_starts,
-                self._acknowledged_starts,
-                self._pending_stops,
-                self._refused,
-            ):
-                entries.clear()
-            self._on_change()
+            # Calls that ended before have reached the ended incarnation at most.
+            in_flight = {
+                run: start
+                for run, start in self._pending_starts.items()
+                if start.in_flight
+            }
+            self._end_incarnation(self._polled_incarnation or facts.life, in_flight)
 
     def _apply_poll(self, poll, began_at):
         self._refused_connections = 0
-        if poll.born_ms and self._facts.born_ms and poll.born_ms != self._facts.born_ms:
-            # The answer is of a new incarnation; its heartbeat will describe it.
-            self._ended_incarnation = self._facts.life
-            self._facts = None
-            self._last_poll = None
-            self._on_change()
+        life = self._facts.life
+        if poll.born_ms != self._facts.born_ms:
+            # Another incarnation has answered; its heartbeat will describe it.
+            log_message(
+                message_type="poll_of_another_life", life=life, born_ms=poll.born_ms
+            )
+            if life == self._polled_incarnation:
+                acknowledged = {
+                    run: _PendingStart(None, life, at)
+                    for run, at in self._acknowledged_starts.items()
+                }
+                self._end_incarnation(life, {**self._pending_starts, **acknowledged})
+            else:
+                self._forget_worker()
             return
         if self._worker_clock is not None and poll.clock_ms < self._worker_clock[0]:
             # A newer poll on another connection was answered first.
             return
+        self._confirm_incarnation()
         self._worker_clock = (poll.clock_ms, self._clock.seconds())
-        self._last_poll, self._polled_at = poll, self._clock.seconds()
+        self._last_poll = poll
+        self._polled_at = self._clock.seconds()
         self._progress.record_poll(
             poll.running, self._acknowledged_starts, self._polled_at
         )
@@ -422,11 +517,10 @@
         listed = running | {(one.task, one.run) for one in self._last_poll.ended}
         # A run that is not listed may be among the completions that are left out.
         complete = self._last_poll.complete
-        for run in list(self._pending_starts):
-            expires_at = self._pending_starts[run].expires_at
+        for run, start in list(self._pending_starts.items()):
             if run in listed:
                 del self._pending_starts[run]
-            elif complete and expires_at is not None and began_at > expires_at:
+            elif complete and start.expires_at and began_at > start.expires_at:
                 del self._pending_starts[run]
                 self._refused[run] = runs.UNANSWERED
         for run, started_at in list(self._acknowledged_starts.items()):
--- a/packages/platform/src/samphiredeal/platform/executor.py
+++ b/packages/platform/src/samphiredeal/platform/executor.py
@@ -3,6 +3,7 @@
 from typing import NamedTuple
 
 import msgspec
+from twisted.web.http_headers import Headers
 
 from samphiredeal.model import runs, untrusted
 from samphiredeal.model.runs import Ended, Refused, Running, WorkerFacts
@@ -30,6 +31,8 @@
 # The inverse, for simulated workers.
 REFUSAL_REASON_NAMES = {reason: name for name, reason in _REFUSAL_REASONS.items()}
 _LEAVING_STATE = "draining"
+# The answer of a worker that is not the one named in the call.
+_OTHER_WORKER_STATUS = 421
 # A completion beyond this many is listed only once earlier ones are recorded.
 _MAX_LISTED_COMPLETIONS = 500
 # Bounds of what a worker says of itself: far above any worker, and small enough for
@@ -60,12 +63,17 @@
 
 
 class ExecutorClient:
-    """Client for one worker, over an `HttpClient`."""
+    """Client for one worker, over an `HttpClient`.
+
+    Each call names the worker that it is meant for by `worker_id`; a worker with
+    another id does not apply it. An incarnation that starts again under the same id
+    does, and is told apart by `PollResult.born_ms` only.
+    """
 
     def __init__(self, http):
         self._http = http
 
-    async def start(self, order, epoch, deadline_ms, timeout_s):
+    async def start(self, order, epoch, deadline_ms, timeout_s, worker_id):
         """Start a run; return `Started`, `Refused` or an `Unavailable`.
 
         Extends the worker's lease until `deadline_ms` on the worker's clock.
@@ -81,7 +89,7 @@
             body["checkpoint"] = order.checkpoint
         if order.ticket:
             body["ticket"] = order.ticket
-        answer = await self._post(b"/api/run-start", body, timeout_s)
+        answer = await self._post(b"/api/run-start", body, timeout_s, worker_id)
         if isinstance(answer, Unavailable):
             return answer
         status, fields = answer
@@ -94,15 +102,15 @@
             return Unavailable(f"status {status}")
         return Refused(order.task, order.run, reason)
 
-    async def stop(self, run, epoch, timeout_s):
+    async def stop(self, run, epoch, timeout_s, worker_id):
         """Stop a run; return True if the worker accepted it, or an `Unavailable`."""
         body = {"task": run.task, "run": run.run, "fencing-token": epoch}
-        answer = await self._post(b"/api/run-stop", body, timeout_s)
+        answer = await self._post(b"/api/run-stop", body, timeout_s, worker_id)
         if isinstance(answer, Unavailable):
             return answer
         return True if answer[0] == 200 else Unavailable(f"status {answer[0]}")
 
-    async def poll(self, epoch, ends_recorded, deadline_ms, wait_s):
+    async def poll(self, epoch, ends_recorded, deadline_ms, wait_s, worker_id):
         """List all runs, and extend the lease if `deadline_ms` is given.
 
         Waits up to `wait_s` for a run to end; returns a `PollResult` or `Unavailable`.
@@ -114,7 +122,8 @@
         }
         if deadline_ms is not None:
             body["deadline-ms"] = deadline_ms
-        answer = await self._post(b"/api/hold", body, wait_s + _POLL_TIMEOUT_S)
+        timeout_s = wait_s + _POLL_TIMEOUT_S
+        answer = await self._post(b"/api/hold", body, timeout_s, worker_id)
         if isinstance(answer, Unavailable):
             return answer
         status, fields = answer
@@ -127,13 +136,21 @@
             reason = f"unreadable lists: {type(error).__name__}: {error}"
             return Unavailable(reason[:200])
 
-    async def _post(self, path, body, timeout_s):
+    async def _post(self, path, body, timeout_s, worker_id):
+        headers = Headers(
+            {
+                b"content-type": [b"application/json"],
+                b"x-expected-instance": [worker_id.encode()],
+            }
+        )
         answer = await self._http.call(
-            b"POST", path, msgspec.json.encode(body), timeout_s=timeout_s
+            b"POST", path, msgspec.json.encode(body), headers, timeout_s
         )
         if isinstance(answer, Unavailable):
             return answer
         status, data = answer
+        if status == _OTHER_WORKER_STATUS:
+            return Unavailable("another worker answers here", not_applied=True)
         try:
             fields = untrusted.decode_json(data) if data else {}
         except ValueError as error:
--- a/packages/platform/src/samphiredeal/platform/memory_worker.py
+++ b/packages/platform/src/samphiredeal/platform/memory_worker.py
@@ -15,6 +15,9 @@
 from samphiredeal.platform.executor import PollResult, Started
 from samphiredeal.platform.table import Unavailable
 
+# How long an answer to a poll is awaited beyond its own waiting time.
+_POLL_TIMEOUT_S = 0.5
+
 
 class Work(NamedTuple):
     """A simulated task: its run time, outcome, gang and checkpoint interval.
@@ -33,13 +36,15 @@
 class WorkerFaults:
     """Faults to inject.
 
-    `lose_answers` is the number of calls to be applied without an answer; `late_s`
-    delays calls, which are then not answered. A worker that is `down` refuses
-    connections. With `hang`, new runs make no progress; with `fail_all` they fail.
+    `lose_answers` is the number of starts and stops to be applied without an answer,
+    `lose_polls` that of polls; `late_s` delays calls, which are then not answered. A
+    worker that is `down` refuses connections. With `hang`, new runs make no progress;
+    with `fail_all` they fail.
     """
 
     def __init__(self):
         self.lose_answers = 0
+        self.lose_polls = 0
         self.late_s = 0.0
         self.down = False
         self.hang = False
@@ -153,9 +158,7 @@
             if task.timer is not None and task.timer.active():
                 task.timer.cancel()
             self._watch("end", self, task.name, task.run, "crashed")
-        polls, self._waiting_polls = self._waiting_polls, []
-        for polled in polls:
-            polled.callback(_connection_refused())
+        polls = self._waiting_polls
         self.__init__(
             self.clock,
             self.facts._replace(born_ms=self.facts.born_ms + 1),
@@ -164,28 +167,36 @@
             self._lease_max_s,
             self._watch,
         )
+        # Their callers may poll the new incarnation at once.
+        for polled in polls:
+            polled.callback(_connection_refused())
 
-    def start(self, order, epoch, deadline_ms, timeout_s):
+    def start(self, order, epoch, deadline_ms, timeout_s, worker_id):
         """Start a run; see `ExecutorClient.start`."""
-        return self._call(lambda: self._start(order, epoch, deadline_ms), timeout_s)
+        return self._call(
+            lambda: self._start(order, epoch, deadline_ms), timeout_s, worker_id
+        )
 
-    def stop(self, run, epoch, timeout_s):
+    def stop(self, run, epoch, timeout_s, worker_id):
         """Stop a run; see `ExecutorClient.stop`."""
-        return self._call(lambda: self._stop(run, epoch), timeout_s)
+        return self._call(lambda: self._stop(run, epoch), timeout_s, worker_id)
 
-    def poll(self, epoch, ends_recorded, deadline_ms, wait_s):
+    def poll(self, epoch, ends_recorded, deadline_ms, wait_s, worker_id):
         """List all runs, and extend the lease; see `ExecutorClient.poll`."""
         if self.faults.down:
             return succeed(_connection_refused())
+        if worker_id != self.facts.id:
+            return succeed(_other_worker())
         self._accept_epoch(epoch)
         if deadline_ms is not None:
             self._extend(deadline_ms)
         self._ends = [end for end in self._ends if end.number > ends_recorded]
-        if self._ends or not wait_s:
-            return succeed(self._poll_result())
         polled = Deferred()
         self._waiting_polls.append(polled)
-        self.clock.callLater(wait_s, self._answer_poll, polled)
+        if self._ends or not wait_s:
+            self._answer_poll(polled)
+        else:
+            self.clock.callLater(wait_s, self._answer_poll, polled)
         return polled
 
     def task_ended(self, task, how):
@@ -199,10 +210,12 @@
         for polled in list(self._waiting_polls):
             self._answer_poll(polled)
 
-    def _call(self, apply, timeout_s):
+    def _call(self, apply, timeout_s, worker_id):
         faults = self.faults
         if faults.down:
             return succeed(_connection_refused())
+        if worker_id != self.facts.id:
+            return succeed(_other_worker())
         if faults.late_s:
             self.clock.callLater(faults.late_s, apply)
             return self._time_out(timeout_s)
@@ -270,11 +283,17 @@
             task.end(runs.LAPSED)
 
     def _answer_poll(self, polled):
-        if polled in self._waiting_polls:
-            self._waiting_polls.remove(polled)
-            polled.callback(
-                _connection_refused() if self.faults.down else self._poll_result()
-            )
+        if polled not in self._waiting_polls:
+            return
+        self._waiting_polls.remove(polled)
+        if self.faults.lose_polls > 0:
+            self.faults.lose_polls -= 1
+            lost = Unavailable("the answer was lost")
+            self.clock.callLater(_POLL_TIMEOUT_S, polled.callback, lost)
+            return
+        polled.callback(
+            _connection_refused() if self.faults.down else self._poll_result()
+        )
 
     def _poll_result(self):
         running = tuple(
@@ -296,3 +315,7 @@
 
 def _connection_refused():
     return Unavailable("connection refused", not_applied=True, nobody_listens=True)
+
+
+def _other_worker():
+    return Unavailable("another worker answers here", not_applied=True)
--- a/packages/platform/tests/test_adapter.py
+++ b/packages/platform/tests/test_adapter.py
@@ -8,7 +8,7 @@
 from twisted.web.server import Site
 
 from samphiredeal.model import runs
-from samphiredeal.model.runs import Ended, Refused, Running, StartOrder
+from samphiredeal.model.runs import Ended, Refused, RunId, Running, StartOrder
 from samphiredeal.model.shape import Shape
 from samphiredeal.platform import callers, executor, operator, settings
 from samphiredeal.platform.client import HttpClient
@@ -127,7 +127,10 @@
 
 
 class Worker(Resource):
-    """Answers every call with `answer`; records the bodies of calls."""
+    """Answers every call with `answer`; records the bodies of calls.
+
+    `expected_id` is the worker that the last call named.
+    """
 
     isLeaf = True
 
@@ -135,8 +138,10 @@
         super().__init__()
         self.answer = (200, {})
         self.calls = []
+        self.expected_id = None
 
     def render_POST(self, request):
+        self.expected_id = request.getHeader("x-expected-instance")
         self.calls.append((request.path, msgspec.json.decode(request.content.read())))
         status, body = self.answer
         request.setResponseCode(status)
@@ -173,7 +178,7 @@
 def test_start_and_its_answers(worker, answer, expected):
     worker.answer = answer
     start = worker.client.start
-    assert call_in_reactor(start, ORDER, 7, 500, 1.0) == expected
+    assert call_in_reactor(start, ORDER, 7, 500, 1.0, "i-w") == expected
     path, body = worker.calls[-1]
     assert path == b"/api/run-start"
     assert body["fencing-token"] == 7 and body["deadline-ms"] == 500
@@ -190,7 +195,7 @@
             "ended": [[1, "b.0.0.0", 2, "done", ""]],
         },
     )
-    result = call_in_reactor(worker.client.poll, 7, 0, 900, 0.0)
+    result = call_in_reactor(worker.client.poll, 7, 0, 900, 0.0, "i-w")
     running = (Running("a.0.0.0", 1, "c", 41, 8),)
     ended = (Ended(1, "b.0.0.0", 2, runs.DONE, ""),)
     assert result == PollResult(4, 2, running, ended)
@@ -198,5 +203,21 @@
 
 def test_malformed_lists_are_unavailable(worker):
     worker.answer = (200, {"clock-ms": 4, "running": [["a"]], "ended": []})
-    result = call_in_reactor(worker.client.poll, 7, 0, None, 0.0)
+    result = call_in_reactor(worker.client.poll, 7, 0, None, 0.0, "i-w")
     assert isinstance(result, Unavailable)
+
+
+# Guards against TWICE (inc-agent-evidence): a call meant for one worker was carried out
+# by the next one at its address.
+@pytest.mark.parametrize("call", ["start", "stop", "poll"])
+def test_call_names_its_worker_and_another_one_does_not_apply_it(worker, call):
+    worker.answer = (421, {"clock-ms": 4})
+    arguments = {
+        "start": (ORDER, 7, 500, 1.0),
+        "stop": (RunId("a.0.0.0", 3), 7, 1.0),
+        "poll": (7, 0, None, 0.0),
+    }[call]
+    method = getattr(worker.client, call)
+    result = call_in_reactor(method, *arguments, "i-w")
+    assert isinstance(result, Unavailable) and result.not_applied
+    assert worker.expected_id == "i-w"
--- a/packages/platform/tests/test_malformed_documents.py
+++ b/packages/platform/tests/test_malformed_documents.py
@@ -143,7 +143,7 @@
 @pytest.mark.parametrize("path, value", cases(LISTS))
 def test_malformed_lists_of_a_worker_are_unavailable_or_usable(path, value):
     client = ExecutorClient(Answering(with_value(LISTS, path, value)))
-    answer = result(client.poll(1, 0, None, 0.0))
+    answer = result(client.poll(1, 0, None, 0.0, "i-w"))
     assert isinstance(answer, PollResult | Unavailable)
     assert msgspec.msgpack.encode(answer)
 
@@ -154,15 +154,15 @@
 def test_malformed_answer_to_an_order_does_not_fail_the_call(name, value, status):
     body = with_value({"clock-ms": 9, "reason": "room"}, (name,), value)
     client = ExecutorClient(Answering(body, status))
-    started = result(client.start(StartOrder("a.0.0.0", 1, "p"), 1, 9, 1.0))
-    stopped = result(client.stop(RunId("a.0.0.0", 1), 1, 1.0))
+    started = result(client.start(StartOrder("a.0.0.0", 1, "p"), 1, 9, 1.0, "i-w"))
+    stopped = result(client.stop(RunId("a.0.0.0", 1), 1, 1.0, "i-w"))
     assert msgspec.msgpack.encode(started) and msgspec.msgpack.encode(stopped)
 
 
 def test_figures_that_only_inform_do_not_make_a_worker_unreadable():
     lists = {**LISTS, "running": [["a.0.0.0", 1, "", 104.5, -3.5]]}
     client = ExecutorClient(Answering(msgspec.json.encode(lists)))
-    (running,) = result(client.poll(1, 0, None, 0.0)).running
+    (running,) = result(client.poll(1, 0, None, 0.0, "i-w")).running
     assert (running.percent, running.usage) == (100, -3)
 
 
@@ -223,7 +223,7 @@
     lambda data: decode_heartbeat("i-1", data),
     operator.decode_operations,
     callers.decode_job,
-    lambda data: result(ExecutorClient(Answering(data)).poll(1, 0, None, 0.0)),
+    lambda data: result(ExecutorClient(Answering(data)).poll(1, 0, None, 0.0, "i-w")),
     lambda data: result(HttpTable(Answering(data)).snapshot()),
     lambda data: result(AdviceClient(Answering(data)).query("s", [], 1.0)),
 ]
--- a/packages/policy/src/samphiredeal/policy/graphs/reports.py
+++ b/packages/policy/src/samphiredeal/policy/graphs/reports.py
@@ -16,6 +16,7 @@
 # A start is sent again if the agent has neither listed nor refused the run after this
 # time: twice the duration of a normal start under load.
 _START_RETRY_S = 1.0
+_ENDED = "its worker's incarnation has ended"
 # Number of workers kept, besides the newest, on which a unit has failed.
 _FAILED_WORKERS_KEPT = 3
 
@@ -50,14 +51,10 @@
 def _update_facts(worker, report, now, log_entries):
     worker.reachable = report.worker is not None
     facts = report.worker
-    for placement in list(worker.placements.values()):
-        ended = placement.life == report.ended_life
-        if ended or (facts is not None and placement.life != facts.life):
-            _remove_lost_placement(
-                worker, placement, "its worker's incarnation has ended", log_entries
-            )
     if facts is None:
+        _remove_ended_runs(worker, report, log_entries)
         return
+    _move_to_incarnation(worker, report, log_entries)
     if worker.life != facts.life:
         worker.life = facts.life
         worker.failures, worker.successes = [], []
@@ -72,6 +69,43 @@
     worker.leaving = facts.leaving
 
 
+def _remove_ended_runs(worker, report, log_entries):
+    """Remove the runs of an incarnation that has ended; the next is not known yet.
+
+    Pending starts may have been carried out by the next one.
+    """
+    pending = set(report.pending)
+    for placement in list(worker.placements.values()):
+        is_pending = (placement.task, placement.run) in pending
+        if placement.life == report.ended_life and not is_pending:
+            _remove_lost_placement(worker, placement, _ENDED, log_entries)
+
+
+def _move_to_incarnation(worker, report, log_entries):
+    """Move the placements of earlier incarnations to the one that reports.
+
+    A start in flight while the earlier one ended may be carried out by the next one,
+    also after its first report. A run that it lists goes on there. Any other is stopped
+    there first: only then will the worker certainly not start it any more.
+    """
+    life = report.worker.life
+    listed = {(one.task, one.run) for one in (*report.running, *report.ended)}
+    for placement in list(worker.placements.values()):
+        if placement.life == life:
+            continue
+        if not placement.committed:
+            # Its start has not been sent.
+            _remove_lost_placement(worker, placement, _ENDED, log_entries)
+            continue
+        placement.life = life
+        placement.stop_sent_at = None
+        placement.unit.job.dirty = True
+        if (placement.task, placement.run) not in listed:
+            placement.status = ORDERED
+            placement.stopping = _ENDED
+            _note_lost_run(worker, placement, _ENDED, log_entries)
+
+
 def remove_all_placements(worker, reason, log_entries):
     """Remove all placements of a worker that certainly runs none of them."""
     for placement in list(worker.placements.values()):
@@ -81,6 +115,11 @@
 def _remove_lost_placement(worker, placement, reason, log_entries):
     """Remove a placement and stop the rest of its gang."""
     _remove(worker, placement)
+    _note_lost_run(worker, placement, reason, log_entries)
+
+
+def _note_lost_run(worker, placement, reason, log_entries):
+    """Log that a run is lost, and stop the rest of its gang."""
     unit = placement.unit
     unit.job.dirty = True
     _stop_remaining(unit, "a member of its gang was lost")
--- a/packages/standins/src/samphiredeal/standins/graph_worker.py
+++ b/packages/standins/src/samphiredeal/standins/graph_worker.py
@@ -61,7 +61,11 @@
             b"/api/run-stop": self._stop,
             b"/api/hold": self._poll,
         }[request.path]
-        status, fields = await handle(body)
+        expected = request.getHeader("x-expected-instance")
+        if expected in (None, self.worker.facts.id):
+            status, fields = await handle(body)
+        else:
+            status, fields = 421, {}
         if request._disconnected:
             return
         clock_ms = int(reactor.seconds() * 1000)
@@ -75,7 +79,11 @@
             body["task"], body["run"], body["spec"], body.get("checkpoint", "")
         )
         answer = await self.worker.start(
-            order, body["fencing-token"], body["deadline-ms"], _CALL_TIMEOUT_S
+            order,
+            body["fencing-token"],
+            body["deadline-ms"],
+            _CALL_TIMEOUT_S,
+            self.worker.facts.id,
         )
         if isinstance(answer, Refused):
             return 409, {"reason": executor.REFUSAL_REASON_NAMES[answer.reason]}
@@ -83,7 +91,9 @@
 
     async def _stop(self, body):
         run = RunId(body["task"], body["run"])
-        answer = await self.worker.stop(run, body["fencing-token"], _CALL_TIMEOUT_S)
+        answer = await self.worker.stop(
+            run, body["fencing-token"], _CALL_TIMEOUT_S, self.worker.facts.id
+        )
         return (409, {}) if isinstance(answer, Unavailable) else (200, {})
 
     async def _poll(self, body):
@@ -92,6 +102,7 @@
             body["last-seen"],
             body.get("deadline-ms"),
             body.get("wait-ms", 0) / 1000,
+            self.worker.facts.id,
         )
         return 200, {
             "born": result.born_ms,
