Keep completions of a worker's next incarnation

A poll acknowledges completions by their number, which starts anew with each incarnation. A poll that was meant for one incarnation and reached the next discarded completions there that no scheduler had seen, so that their tasks ran again. After a failed call, and in polls beside the main one, the agent now acknowledges nothing until the same incarnation has answered.

test_completions_of_the_next_incarnation_are_not_discarded_by_an_earlier_number failed before.

--- a/packages/agent/src/samphiredeal/agent/graphs/run_manager.py
+++ b/packages/agent/src/samphiredeal/agent/graphs/run_manager.py
@@ -95,6 +95,7 @@
         self._polled_incarnation = ""
         self._ended_incarnation = ""
         self._refused_connections = 0
+        self._is_poll_failing = False
         self._pending_starts = {}
         self._acknowledged_starts = {}
         self._pending_stops = {}
@@ -410,14 +411,18 @@
             wait_s = self._poll_wait_s() if authorized else _UNAUTHORIZED_WAIT_S
             if authorized:
                 deadline_ms = self._worker_now_ms() + int(self._lease_max_s * 1000)
+        # After a failed call the worker may be another incarnation, whose completions
+        # must not be discarded by the number of one of the earlier incarnation.
+        is_same = self._polled_incarnation == facts.life and not self._is_poll_failing
         began_at = self._clock.seconds()
         answer = await self._calls.poll(
             self._authority.epoch,
-            self._completions_recorded,
+            self._completions_recorded if is_same else 0,
             deadline_ms,
             wait_s,
             facts.id,
         )
+        self._is_poll_failing = not isinstance(answer, PollResult)
         if self._facts is None or self._facts.life != facts.life:
             return 0
         if isinstance(answer, PollResult):
@@ -451,9 +456,7 @@
 
     async def _poll_concurrently(self, facts):
         began_at = self._clock.seconds()
-        answer = await self._calls.poll(
-            self._authority.epoch, self._completions_recorded, None, 0.0, facts.id
-        )
+        answer = await self._calls.poll(self._authority.epoch, 0, None, 0.0, facts.id)
         is_same_incarnation = self._facts is not None and self._facts.life == facts.life
         if is_same_incarnation and isinstance(answer, PollResult):
             self._apply_poll(answer, began_at)
--- a/packages/agent/tests/test_worker_restart.py
+++ b/packages/agent/tests/test_worker_restart.py
@@ -130,3 +130,15 @@
     assert report.worker == bench.worker.facts
     assert report.ended_life == ""
     assert [(one.task, one.run) for one in report.running] == [RUN]
+
+
+# Guards against LOST and TWICE: completions of the next incarnation were discarded by
+# the number of one of the earlier incarnation.
+def test_completions_of_the_next_incarnation_are_not_discarded_by_an_earlier_number():
+    bench = AgentBench(seconds=0.1).order([1]).run(1.0)
+    bench.order(ends_recorded=50).run(1.0)
+    bench.worker.crash()
+    bench.order([2], life="i-w/1").run(1.2)
+    assert bench.starts() == [1, 2]
+    bench.heartbeat().run(1.0)
+    assert [one.run for one in bench.run_manager.report().ended] == [2]
