Do not take a refused start for one that never began

The answer to a start is lost, and so are those to the polls that list the run's end. The agent tries the start again, and the executor, which has run the task, rightly refuses it as old. The agent reported that as a start that never began, since its last poll did not list the run, and the scheduler started the task again.

A refusal tells only what became of the call that it answers. As long as an earlier try may have taken effect, of this agent's process or of an earlier one, the start stays pending: after old, too late and stale a complete poll sent after the refusal decides, since no try begins any more; after any other reason a stop does.

Found on related paths: room, tickets, ill health or a malformed start refused after a try without an answer, which the executor then carried out; old after the agent's own restart; a refusal by a restarted agent without a call, for want of authority or since the worker is leaving.

--- a/packages/agent/src/samphiredeal/agent/graphs/run_manager.py
+++ b/packages/agent/src/samphiredeal/agent/graphs/run_manager.py
@@ -47,6 +47,9 @@
 _DEADLINE_MARGIN_S = 0.1
 # How long after its first try a start may take effect, by this VM's clock.
 _START_EFFECT_S = START_VALID_S / (1 - MAX_CLOCK_SLOWDOWN) + _DEADLINE_MARGIN_S
+# After these answers to a start, no earlier try of it can take effect any more: the
+# worker knows the run or a newer scheduler, or the deadline of all tries has passed.
+_FINAL_FOR_ALL_TRIES = (runs.OLD_RUN, runs.TOO_LATE, runs.STALE_EPOCH)
 # Pauses between polls. The first batches completions that occur close together into
 # one report.
 _COMPLETIONS_PAUSE_S = 0.06
@@ -57,7 +60,8 @@
     """A start order whose outcome is unknown.
 
     `life` is the incarnation of the worker that it was decided for. `expires_at` bounds
-    its effect.
+    its effect. `refusal` is the reason of a refusal that does not prove by itself that
+    the run has not begun; a poll sent after `refused_at`, or a stop, decides.
     """
 
     def __init__(self, order, life, began_at):
@@ -66,6 +70,8 @@
         self.began_at = began_at
         self.expires_at = None
         self.in_flight = False
+        self.refusal = ""
+        self.refused_at = None
 
 
 class _PendingStop:
@@ -89,7 +95,7 @@
         self._worker_clock = None
         self._last_poll = None
         self._poll_count = 0
-        self._polled_at = clock.seconds()
+        self._poll_sent_at = self._polled_at = clock.seconds()
         self._completions_recorded = 0
         # The incarnation that the last answer to a poll came from.
         self._polled_incarnation = ""
@@ -104,6 +110,8 @@
         self._extending = None
         self._progress = ProgressTracker()
         self._scheduled_polls = set()
+        # Until then, starts sent by an earlier process of this agent may take effect.
+        self._earlier_starts_expire_at = clock.seconds() + _START_EFFECT_S
 
     @property
     def facts(self):
@@ -271,19 +279,34 @@
             return
         start = _PendingStart(order, self._facts.life, self._clock.seconds())
         if self._facts.leaving:
-            self._refuse(run, runs.LEAVING)
+            self._refuse_unsent(run, start, runs.LEAVING)
             return
         if not self._authority.authorized or self._worker_clock is None:
-            self._refuse(run, runs.UNHEALTHY)
+            self._refuse_unsent(run, start, runs.UNHEALTHY)
             return
         self._pending_starts[run] = start
         ensureDeferred(self._start(run, start)).addErrback(_log_failure)
 
+    def _refuse_unsent(self, run, start, reason):
+        """Refuse a start that this process has not sent.
+
+        An earlier process of this agent may have sent it; a stop, or a poll sent after
+        that one's starts have expired, decides.
+        """
+        poll, expire_at = self._last_poll, self._earlier_starts_expire_at
+        if poll is not None and poll.complete and self._poll_sent_at > expire_at:
+            self._refuse(run, reason)
+            return
+        start.refusal, start.expires_at = reason, expire_at
+        self._pending_starts[run] = start
+        if poll is not None:
+            self._begin_stop(run)
+
     async def _start(self, run, start):
         deadline_ms = self._worker_now_ms() + int(START_VALID_S * 1000)
         began_at, epoch = start.began_at, self._authority.epoch
         # Whether no earlier try can take effect any more.
-        is_only_try = True
+        is_only_try = began_at >= self._earlier_starts_expire_at
         while self._is_current(run, start):
             if run in self._pending_stops:
                 break
@@ -306,7 +329,7 @@
             overdue = self._clock.seconds() - began_at > _START_GIVE_UP_S
             if isinstance(answer, Refused):
                 if answer.reason != runs.UNHEALTHY or (overdue and is_only_try):
-                    self._start_refused(run, start, answer.reason)
+                    self._start_refused(run, start, answer.reason, is_only_try)
                     return
             else:
                 is_only_try = is_only_try and answer.not_applied
@@ -334,13 +357,24 @@
             del self._pending_starts[run]
             self._on_change()
 
-    def _start_refused(self, run, start, reason):
-        del self._pending_starts[run]
+    def _start_refused(self, run, start, reason, is_only_try):
+        """Process a refusal, which says nothing about earlier tries of the start.
+
+        A worker answers `OLD_RUN` also if an earlier try, perhaps of an earlier process
+        of this agent, has been carried out and the run has ended.
+        """
         self._log_start(run, start, reason)
-        if reason == runs.OLD_RUN and self._is_listed(run):
-            self._on_change()
+        if is_only_try and reason != runs.OLD_RUN:
+            del self._pending_starts[run]
+            self._refuse(run, reason)
             return
-        self._refuse(run, reason)
+        start.refusal = reason
+        start.refused_at = self._clock.seconds()
+        if reason in _FINAL_FOR_ALL_TRIES:
+            self._schedule_poll(_POLL_PAUSE_S)
+        else:
+            self._begin_stop(run)
+        self._on_change()
 
     def _log_start(self, run, start, outcome):
         log_message(
@@ -506,7 +540,7 @@
         self._confirm_incarnation()
         self._worker_clock = (poll.clock_ms, self._clock.seconds())
         self._last_poll = poll
-        self._polled_at = self._clock.seconds()
+        self._poll_sent_at, self._polled_at = began_at, self._clock.seconds()
         self._progress.record_poll(
             poll.running, self._acknowledged_starts, self._polled_at
         )
@@ -523,9 +557,14 @@
         for run, start in list(self._pending_starts.items()):
             if run in listed:
                 del self._pending_starts[run]
+                continue
+            is_final = start.refusal in _FINAL_FOR_ALL_TRIES
+            if complete and is_final and began_at > start.refused_at:
+                del self._pending_starts[run]
+                self._refused[run] = start.refusal
             elif complete and start.expires_at and began_at > start.expires_at:
                 del self._pending_starts[run]
-                self._refused[run] = runs.UNANSWERED
+                self._refused[run] = start.refusal or runs.UNANSWERED
         for run, started_at in list(self._acknowledged_starts.items()):
             if run in listed or (complete and began_at > started_at):
                 del self._acknowledged_starts[run]
@@ -535,9 +574,9 @@
             if run not in running and (complete or run in listed):
                 del self._pending_stops[run]
                 if run not in listed:
-                    self._pending_starts.pop(run, None)
+                    start = self._pending_starts.pop(run, None)
                     self._acknowledged_starts.pop(run, None)
-                    self._refused[run] = runs.STOPPED
+                    self._refused[run] = (start and start.refusal) or runs.STOPPED
 
     def _worker_now_ms(self):
         clock_ms, at = self._worker_clock
--- a/tests/test_worker_evidence.py
+++ b/tests/test_worker_evidence.py
@@ -1,18 +1,31 @@
-"""Workers that start again under a stream of short jobs.
+"""Workers that start again, and lost answers, under a stream of short jobs.
 
-No task may be at work twice at a time, whatever the moment at which a worker starts
-again.
+No task may be at work twice at a time, nor be started after its end was recorded,
+whatever the moment at which a worker starts again or an answer is lost.
 """
 
 import pytest
 from graph_builders import STEP
 from graph_world import HEARTBEAT_S, check_invariants, make_graph_world
 
+from samphiredeal.model import runs
+
 JOBS = 30
 JOB_INTERVAL_S = 0.25
 SHORT = {**STEP, "count": 2, "gpu": 2, "cpu": 2000, "mem-mb": 2000}
 
 
+def starts_after_done(world):
+    """Return the starts of tasks of which a run had ended as done before."""
+    done, found = set(), []
+    for event in world.event_log.events:
+        if event.kind == "start" and event.task in done:
+            found.append(event)
+        elif event.kind == "end" and event.how == runs.DONE:
+            done.add(event.task)
+    return found
+
+
 def play(world, disturb, work_ms=1000):
     """Submit jobs one after another, calling `disturb()` in between; run to the end."""
     step = {**SHORT, "estimated-ms": work_ms}
@@ -83,6 +96,23 @@
     check_invariants(world)
 
 
+# Guards against TWICE (inc-old-run): the refusal of a start's second try counted as
+# proof that the run had never begun, although it had ended.
+@pytest.mark.parametrize("seed", range(6))
+def test_no_task_starts_again_after_its_end_if_answers_are_lost(seed):
+    world = make_graph_world(seed=seed)
+
+    def disturb():
+        for worker in world.workers.values():
+            if world.random.random() < 0.3:
+                worker.faults.lose_answers = 1
+                worker.faults.lose_polls = world.random.randint(1, 4)
+
+    play(world, disturb, work_ms=300)
+    assert starts_after_done(world) == []
+    check_invariants(world)
+
+
 # What the proof costs: the task of a worker that starts again at once is restarted
 # soon after the worker's first heartbeat.
 def test_task_is_restarted_soon_after_its_worker_started_again():
