Let guaranteed work preempt lasting work of others

The cause is the rule of reclaim.may_preempt, which left out every lasting step, whatever its priority. The rule now asks just that: a task of such a step that is at work is stopped only while fewer others are away, counting those chosen with it. Urgent work beyond its guarantee still preempts no lasting work. A lasting task costs the time to restart, as it has no result to lose, so the cheapest work still goes first, and it starts again where there is room.

--- a/packages/policy/src/samphiredeal/policy/graphs/reclaim.py
+++ b/packages/policy/src/samphiredeal/policy/graphs/reclaim.py
@@ -6,12 +6,16 @@
 """
 
 from samphiredeal.policy.graphs import fitting
-from samphiredeal.policy.graphs.state import RESUME_COST_S
+from samphiredeal.policy.graphs.state import LISTED, RESUME_COST_S
 
 # Weight of an accelerator relative to processors, in cores.
 _ACCELERATOR_CORES = 8
 # Preempting urgent work of an account beyond its guarantee is a last resort.
 _URGENT_COST_FACTOR = 10.0
+# Runs that have reached this percentage are about to free their capacity.
+_NEARLY_DONE_PERCENT = 90
+# A lasting task that is at work reports this percentage.
+_AT_WORK_PERCENT = 100
 
 
 def member_cores(unit):
@@ -26,7 +30,12 @@
 
 
 def lost_core_s(unit, now):
-    """Return the core-seconds of work lost if the unit is stopped now."""
+    """Return the core-seconds of work lost if the unit is stopped now.
+
+    A lasting task has no result to lose, only the time to restart.
+    """
+    if unit.spec.lasting:
+        return member_cores(unit) * len(unit.placements) * RESUME_COST_S
     total_s = 0.0
     for placement in unit.placements.values():
         if placement.running_since is None:
@@ -39,11 +48,67 @@
     return member_cores(unit) * total_s
 
 
+def preemption_rule(unit, covered_jobs):
+    """Return `may_preempt(victim, chosen)` for an urgent unit.
+
+    It returns whether the victim may be stopped in addition to the `chosen` units. A
+    guarantee holds against all work that is not within one itself: other accounts only
+    borrow what is idle. Urgent work beyond its guarantee preempts no lasting work.
+    """
+    is_covered = unit.job.id in covered_jobs
+
+    def may_preempt(victim, chosen):
+        if victim.done or not may_be_away(victim, chosen):
+            return False
+        if victim.spec.lasting and not is_covered:
+            return False
+        if victim.job.record.priority > unit.job.record.priority:
+            return not _is_nearly_done(victim)
+        return is_covered and victim.job.urgent and victim.job.id not in covered_jobs
+
+    return may_preempt
+
+
+def may_be_away(victim, chosen):
+    """Return whether a step tolerates that this lasting task is stopped.
+
+    Unless the step sets a limit, any number of its tasks may be away.
+    """
+    limit = victim.spec.may_be_away
+    if not limit or not victim.spec.lasting or not _is_at_work(victim):
+        return True
+    away = sum(
+        1
+        for other in victim.job.units.values()
+        if other is not victim
+        and (other.occurrence, other.step) == (victim.occurrence, victim.step)
+        and (other in chosen or not _is_at_work(other))
+    )
+    return away < limit
+
+
+def _is_at_work(unit):
+    placements = unit.placements.values()
+    return bool(placements) and all(
+        p.status == LISTED and p.percent >= _AT_WORK_PERCENT and not p.stopping
+        for p in placements
+    )
+
+
+def _is_nearly_done(unit):
+    """Return whether a unit will soon end by itself; a lasting task never does."""
+    placements = unit.placements.values()
+    if unit.spec.lasting or not placements:
+        return False
+    return all(p.percent >= _NEARLY_DONE_PERCENT for p in placements)
+
+
 def find_victims(unit, workers, may_preempt, remote_allowed, now):
     """Return (cost, places, victims) that let the whole unit start soon, or None.
 
-    `may_preempt(victim)` returns whether a unit may be stopped. Places where the unit
-    takes longer are used only if `remote_allowed`.
+    `may_preempt(victim, chosen)` returns whether a unit may be stopped in addition to
+    those already chosen. Places where the unit takes longer are used only if
+    `remote_allowed`.
     """
     best = None
     for group in fitting.preferred_groups(unit, workers):
@@ -98,22 +163,18 @@
 def _next_member(unit, worker, free_by_worker, victims, may_preempt, now):
     """Return (cost, victims) to fit one more member on the worker, or None."""
     free = free_by_worker[worker.name]
+    units = {id(p.unit): p.unit for p in worker.placements.values() if not p.stopping}
+    candidates = [one for key, one in units.items() if key not in victims]
     chosen, cost = [], 0.0
     if unit.demand.fits(free):
         return fitting.run_cost(unit, worker, 1.0) * 1e-3, chosen
-    candidates = {
-        id(placement.unit): placement.unit
-        for placement in worker.placements.values()
-        if not placement.stopping
-        and id(placement.unit) not in victims
-        and may_preempt(placement.unit)
-    }
-    for victim in sorted(candidates.values(), key=lambda one: _victim_cost(one, now)):
+    for victim in sorted(candidates, key=lambda one: _victim_cost(one, now)):
         freed = [p for p in victim.placements.values() if p.worker == worker.name]
         if not any(_reduces_shortage(unit, free, placement) for placement in freed):
             continue
-        for placement in freed:
-            free = free.plus(placement.shape)
+        if not may_preempt(victim, (*victims.values(), *chosen)):
+            continue
+        free = _free_without(victim, worker, free)
         chosen.append(victim)
         cost += _victim_cost(victim, now)
         if unit.demand.fits(free):
@@ -121,6 +182,14 @@
     return None
 
 
+def _free_without(victim, worker, free):
+    """Return the free capacity of a worker once a unit's runs there have ended."""
+    for placement in victim.placements.values():
+        if placement.worker == worker.name:
+            free = free.plus(placement.shape)
+    return free
+
+
 def _reduces_shortage(unit, free, placement):
     """Return whether a placement uses a resource that the unit still lacks."""
     return any(
--- a/packages/policy/src/samphiredeal/policy/graphs/scheduler.py
+++ b/packages/policy/src/samphiredeal/policy/graphs/scheduler.py
@@ -34,8 +34,6 @@
 _GANG_EXIT_S = 1.0
 # A stop without a visible effect is sent again after this time.
 _STOP_RETRY_S = 0.5
-# Runs that have reached this percentage are not preempted.
-_NEARLY_DONE_PERCENT = 90
 # A step wider than the total capacity divided by this is expected to run in waves.
 # Urgent work beyond its guarantee preempts other work for one wave at a time.
 _WAVES_PER_CAPACITY = 4
@@ -479,16 +477,8 @@
 
     def _reclaim(self, unit, workers, covered, remote_allowed, now):
         """Preempt other work for the unit if that is allowed and cheap enough."""
-        covered_jobs = self._covered_jobs()
-
-        def may_preempt(victim):
-            if victim.done or victim.spec.lasting:
-                return False
-            if victim.job.record.priority > unit.job.record.priority:
-                return not _nearly_done(victim)
-            return covered and victim.job.urgent and victim.job.id not in covered_jobs
-
-        found = reclaim.find_victims(unit, workers, may_preempt, remote_allowed, now)
+        rule = reclaim.preemption_rule(unit, self._covered_jobs())
+        found = reclaim.find_victims(unit, workers, rule, remote_allowed, now)
         if found is None:
             return
         cost, places, victims = found
@@ -510,13 +500,6 @@
     )
 
 
-def _nearly_done(unit):
-    placements = unit.placements.values()
-    return bool(placements) and all(
-        p.percent >= _NEARLY_DONE_PERCENT for p in placements
-    )
-
-
 def _start_order(placement, ticket):
     unit = placement.unit
     payload = unit.job.record.spec.payload
--- /dev/null
+++ b/packages/policy/tests/test_guarantee.py
@@ -0,0 +1,112 @@
+"""Guaranteed work reclaims its accelerators from any work that only borrows them.
+
+"That number of `gpu` belongs to the tenant for its jobs of priority 0, at all times.
+Others may use whatever is idle." Guards against RECLAIM (inc-lasting-borrowers).
+"""
+
+import pytest
+from graph_bench import Bench, make_workers
+from graph_builders import make_record, make_step
+
+from samphiredeal.model import runs
+
+RECLAIM_S = 2.7
+STEP_S = 0.1
+BORROWER = "guild"
+
+
+def make_full_bench(step, workers=2, **fields):
+    """Return a bench on which a job of another account has run for a while.
+
+    The account `acct` is guaranteed 8 accelerators and uses none.
+    """
+    bench = Bench(make_workers(workers))
+    bench.scheduler.guarantees = {"acct": 8}
+    bench.add(make_record("b", [step], account=BORROWER, **{"priority": 2, **fields}))
+    bench.step().step(1.0)
+    for name, listed in bench.running.items():
+        for task, _run in listed:
+            bench.percent[name, task] = 100 if step.lasting else 50
+    return bench.step(0.1)
+
+
+def begin(bench, count=4, seconds=RECLAIM_S, **fields):
+    """Submit guaranteed work; return how many of its tasks begin within `seconds`."""
+    job = make_record("u", [make_step(count, 1, **fields)], priority=0)
+    bench.add(job)
+    for _ in range(round(seconds / STEP_S)):
+        bench.step(STEP_S)
+    return len(bench.places("u"))
+
+
+# Lasting work was never preempted, whatever its priority and its limit.
+@pytest.mark.parametrize("lasting", [False, True])
+@pytest.mark.parametrize("gang", [False, True])
+def test_guaranteed_work_begins_though_others_fill_the_cluster(gang, lasting):
+    bench = make_full_bench(make_step(16, 1, lasting=lasting, gang=gang))
+    assert begin(bench) == 4
+
+
+def test_lasting_victims_restart_once_there_is_room():
+    bench = make_full_bench(make_step(16, 1, lasting=True))
+    begin(bench)
+    assert len(bench.places("b")) == 12
+    bench.end_all("u")
+    bench.step(0.1).step(0.1)
+    assert len(bench.places("b")) == 16
+
+
+# AVAIL: "A stop, move or upkeep ends a task of a step with `may-miss` that is at work
+# on a sound executor that isn't draining, while so many others of its step are away".
+@pytest.mark.parametrize("may_be_away, expected", [(1, 1), (2, 2), (4, 4), (6, 4)])
+def test_lasting_step_keeps_as_many_tasks_at_work_as_it_asks_for(may_be_away, expected):
+    step = make_step(16, 1, lasting=True, may_be_away=may_be_away)
+    bench = make_full_bench(step)
+    assert begin(bench) == expected
+    assert len(bench.places("b")) == 16 - expected
+
+
+def test_tasks_of_a_lasting_step_that_are_not_at_work_count_as_away():
+    step = make_step(16, 1, lasting=True, may_be_away=2)
+    bench = make_full_bench(step)
+    first = next(iter(bench.running["w0"]))
+    bench.percent["w0", first[0]] = 40
+    # The task that is not at work may be stopped, and one more.
+    assert begin(bench) == 2
+
+
+def test_urgent_work_beyond_its_guarantee_preempts_no_lasting_work():
+    bench = make_full_bench(make_step(16, 1, lasting=True))
+    bench.scheduler.guarantees = {}
+    assert begin(bench) == 0
+
+
+def test_lasting_work_within_a_guarantee_is_not_preempted():
+    bench = make_full_bench(make_step(16, 1, lasting=True), priority=0)
+    bench.scheduler.guarantees = {"acct": 8, BORROWER: 16}
+    assert begin(bench) == 0
+
+
+def test_urgent_lasting_work_beyond_its_guarantee_is_preempted():
+    bench = make_full_bench(make_step(16, 1, lasting=True), priority=0)
+    assert begin(bench) == 4
+
+
+def test_cheapest_work_is_preempted_first():
+    bench = Bench(make_workers(2))
+    bench.scheduler.guarantees = {"acct": 8}
+    lasting = make_step(8, 1, lasting=True, spread_limit=4)
+    batch = make_step(8, 1, estimate_ms=60_000, spread_limit=4)
+    bench.add(make_record("l", [lasting], priority=2, account=BORROWER))
+    bench.add(make_record("b", [batch], priority=2, account=BORROWER))
+    bench.step().step(20.0)
+    assert begin(bench) == 4
+    assert len(bench.places("b")) == 8
+
+
+def test_victim_that_ends_meanwhile_frees_its_room():
+    bench = make_full_bench(make_step(16, 1))
+    bench.add(make_record("u", [make_step(4, 1)], priority=0))
+    bench.end_all("b", runs.DONE)
+    bench.step(0.1)
+    assert len(bench.places("u")) == 4
