Let urgent work that serves preempt filling work

Filling work receives only what other tasks leave. Reclaim now considers these workers and counts what would disturb the unit among the victims; a claim on such a worker is kept until they are gone.

Evidence: test_serving_work_preempts_filling_work_that_would_disturb_it failed for both guarantees on the code before.

--- a/packages/policy/src/samphiredeal/policy/graphs/fitting.py
+++ b/packages/policy/src/samphiredeal/policy/graphs/fitting.py
@@ -17,6 +17,11 @@
 
 def is_allowed(state, unit, worker):
     """Return whether the unit may run on the worker in its present state."""
+    return is_eligible(state, unit, worker) and not _would_interfere(unit, worker)
+
+
+def is_eligible(state, unit, worker):
+    """Return whether the unit may run on the worker once it is free."""
     return (
         worker.reachable
         and not worker.leaving
@@ -24,20 +29,23 @@
         and worker.service == unit.job.record.service
         and worker.zone not in state.zones_out
         and (not unit.spec.label or unit.spec.label in worker.labels)
-        and not _would_interfere(unit, worker)
         and not state.tickets.is_refused(unit, worker)
     )
 
 
 def _would_interfere(unit, worker):
-    """Return whether the unit and the tasks on the worker would interfere.
+    """Return whether the unit and the tasks on the worker would interfere."""
+    return any(interferes(unit, p.unit) for p in worker.placements.values())
+
+
+def interferes(unit, other):
+    """Return whether tasks of two units disturb each other on one worker.
 
     Work that fills unused processors slows tasks with a latency target.
     """
-    steps = [placement.unit.spec for placement in worker.placements.values()]
     if unit.spec.fills:
-        return any(step.target_latency_ms for step in steps)
-    return bool(unit.spec.target_latency_ms) and any(step.fills for step in steps)
+        return bool(other.spec.target_latency_ms)
+    return bool(unit.spec.target_latency_ms) and other.spec.fills
 
 
 def spread_capacity(unit, worker):
--- a/packages/policy/src/samphiredeal/policy/graphs/reclaim.py
+++ b/packages/policy/src/samphiredeal/policy/graphs/reclaim.py
@@ -53,14 +53,15 @@
 
     It returns whether the victim may be stopped in addition to the `chosen` units. A
     guarantee holds against all work that is not within one itself: other accounts only
-    borrow what is idle. Urgent work beyond its guarantee preempts no lasting work.
+    borrow what is idle. Urgent work beyond its guarantee preempts no lasting work, but
+    filling tasks, which only use what others leave.
     """
     is_covered = unit.job.id in covered_jobs
 
     def may_preempt(victim, chosen):
         if victim.done or not may_be_away(victim, chosen):
             return False
-        if victim.spec.lasting and not is_covered:
+        if victim.spec.lasting and not (is_covered or victim.spec.fills):
             return False
         if victim.job.record.priority > unit.job.record.priority:
             return not _is_nearly_done(victim)
@@ -161,16 +162,29 @@
 
 
 def _next_member(unit, worker, free_by_worker, victims, may_preempt, now):
-    """Return (cost, victims) to fit one more member on the worker, or None."""
+    """Return (cost, victims) to fit one more member on the worker, or None.
+
+    Units that would interfere with the member have to go, whatever they free.
+    """
     free = free_by_worker[worker.name]
     units = {id(p.unit): p.unit for p in worker.placements.values() if not p.stopping}
     candidates = [one for key, one in units.items() if key not in victims]
     chosen, cost = [], 0.0
+    for victim in candidates:
+        if not fitting.interferes(unit, victim):
+            continue
+        if not may_preempt(victim, (*victims.values(), *chosen)):
+            return None
+        free = _free_without(victim, worker, free)
+        chosen.append(victim)
+        cost += _victim_cost(victim, now)
     if unit.demand.fits(free):
-        return fitting.run_cost(unit, worker, 1.0) * 1e-3, chosen
+        return cost + fitting.run_cost(unit, worker, 1.0) * 1e-3, chosen
     for victim in sorted(candidates, key=lambda one: _victim_cost(one, now)):
         freed = [p for p in victim.placements.values() if p.worker == worker.name]
-        if not any(_reduces_shortage(unit, free, placement) for placement in freed):
+        if victim in chosen or not any(
+            _reduces_shortage(unit, free, placement) for placement in freed
+        ):
             continue
         if not may_preempt(victim, (*victims.values(), *chosen)):
             continue
--- a/packages/policy/src/samphiredeal/policy/graphs/scheduler.py
+++ b/packages/policy/src/samphiredeal/policy/graphs/scheduler.py
@@ -384,17 +384,10 @@
 
     def _place(self, unit, covered, now, context):
         """Place a unit or preempt work for it; return whether it was placed."""
-        workers = [
-            worker
-            for worker in self.workers.values()
-            if fitting.is_allowed(self, unit, worker)
-        ]
-        healthy = [one for one in workers if not health.is_risky(one, unit)]
-        if fitting.could_hold(unit, healthy):
-            workers = healthy
+        workers = self._usable_workers(unit, fitting.is_allowed)
         if unit.job.record.advice is not None:
             workers = self._workers_with_ticket(unit, workers)
-        if unit.claim and not unit.claim.keys() <= {one.name for one in workers}:
+        if unit.claim and not self._is_claim_useful(unit):
             self._claim(unit, {})
 
         def available_on(worker):
@@ -425,9 +418,30 @@
         if unit.job.urgent and not unit.claim:
             share = context.share(unit.job, unit.step)
             if covered or _active_members(unit) < share:
-                self._reclaim(unit, workers, covered, remote_allowed, now)
+                self._reclaim(unit, covered, remote_allowed, now)
         return False
 
+    def _usable_workers(self, unit, is_usable):
+        """Return the healthy usable workers, or all if those could not hold the unit.
+
+        `is_usable(scheduler, unit, worker)` is one of the rules of `fitting`.
+        """
+        workers = [one for one in self.workers.values() if is_usable(self, unit, one)]
+        healthy = [one for one in workers if not health.is_risky(one, unit)]
+        return healthy if fitting.could_hold(unit, healthy) else workers
+
+    def _reclaimable_workers(self, unit):
+        """Return the workers on which other work may be preempted for the unit."""
+        workers = self._usable_workers(unit, fitting.is_eligible)
+        if unit.job.record.advice is None:
+            return workers
+        return [one for one in workers if self.tickets.is_permitted(unit, one)]
+
+    def _is_claim_useful(self, unit):
+        """Return whether the unit may still run where capacity is claimed for it."""
+        usable = {one.name for one in self._reclaimable_workers(unit)}
+        return unit.claim.keys() <= usable
+
     def _workers_with_ticket(self, unit, workers):
         """Return the workers with a ticket; request more tickets if needed."""
         ready = [one for one in workers if self.tickets.is_permitted(unit, one)]
@@ -475,14 +489,17 @@
         )
         unit.ready_since = None
 
-    def _reclaim(self, unit, workers, covered, remote_allowed, now):
+    def _reclaim(self, unit, covered, remote_allowed, now):
         """Preempt other work for the unit if that is allowed and cheap enough."""
+        workers = self._reclaimable_workers(unit)
         rule = reclaim.preemption_rule(unit, self._covered_jobs())
         found = reclaim.find_victims(unit, workers, rule, remote_allowed, now)
         if found is None:
             return
         cost, places, victims = found
-        if not covered and cost > _URGENT_LOSS_FACTOR * reclaim.required_core_s(unit):
+        # Lasting work is worth more than any estimate of its duration.
+        is_bounded = not covered and not unit.spec.lasting
+        if is_bounded and cost > _URGENT_LOSS_FACTOR * reclaim.required_core_s(unit):
             return
         self._claim(unit, places)
         for victim in victims:
--- a/packages/policy/tests/test_guarantee.py
+++ b/packages/policy/tests/test_guarantee.py
@@ -104,6 +104,24 @@
     assert len(bench.places("b")) == 8
 
 
+# "`fills`: [...] the step's tasks receive the capacity that the other tasks leave
+# unused."
+@pytest.mark.parametrize("guaranteed", [0, 8])
+def test_serving_work_preempts_filling_work_that_would_disturb_it(guaranteed):
+    step = make_step(2, 1, lasting=True, fills=True, spread_limit=1)
+    bench = make_full_bench(step)
+    bench.scheduler.guarantees = {"acct": guaranteed}
+    assert begin(bench, 1, lasting=True, target_latency_ms=50) == 1
+    assert len(bench.places("b")) == 1
+
+
+def test_filling_work_preempts_no_serving_work():
+    step = make_step(2, 1, lasting=True, target_latency_ms=50, spread_limit=1)
+    bench = make_full_bench(step)
+    bench.scheduler.guarantees = {}
+    assert begin(bench, 1, fills=True) == 0
+
+
 def test_victim_that_ends_meanwhile_frees_its_room():
     bench = make_full_bench(make_step(16, 1))
     bench.add(make_record("u", [make_step(4, 1)], priority=0))
