Do not let guaranteed work wait for nearly done work for long

Found by the review: work at 90% or more was never preempted, so that guaranteed work began after 5.1 s, bound 2.7, on a cluster full of tasks of 66 s at that point. It now waits 0.8 s for them, which with a stop and a start stays below the bound.

Evidence: test_guaranteed_work_does_not_wait_for_long_for_work_that_is_nearly_done failed for both percentages on the code before.

--- a/packages/policy/src/samphiredeal/policy/graphs/reclaim.py
+++ b/packages/policy/src/samphiredeal/policy/graphs/reclaim.py
@@ -14,6 +14,9 @@
 _URGENT_COST_FACTOR = 10.0
 # Runs that have reached this percentage are about to free their capacity.
 _NEARLY_DONE_PERCENT = 90
+# How long work within its account's guarantee waits for them. Together with a stop and
+# a start it has to stay below the 2.7 s within which such work must begin.
+_NEARLY_DONE_WAIT_S = 0.8
 # A lasting task that is at work reports this percentage.
 _AT_WORK_PERCENT = 100
 
@@ -48,7 +51,7 @@
     return member_cores(unit) * total_s
 
 
-def preemption_rule(unit, covered_jobs):
+def preemption_rule(unit, covered_jobs, now):
     """Return `may_preempt(victim, chosen)` for an urgent unit.
 
     It returns whether the victim may be stopped in addition to the `chosen` units. A
@@ -57,6 +60,8 @@
     filling tasks, which only use what others leave.
     """
     is_covered = unit.job.id in covered_jobs
+    waited_s = now - (now if unit.ready_since is None else unit.ready_since)
+    spares_nearly_done = not is_covered or waited_s < _NEARLY_DONE_WAIT_S
 
     def may_preempt(victim, chosen):
         if victim.done or not may_be_away(victim, chosen):
@@ -64,7 +69,7 @@
         if victim.spec.lasting and not (is_covered or victim.spec.fills):
             return False
         if victim.job.record.priority > unit.job.record.priority:
-            return not _is_nearly_done(victim)
+            return not (spares_nearly_done and _is_nearly_done(victim))
         return is_covered and victim.job.urgent and victim.job.id not in covered_jobs
 
     return may_preempt
--- a/packages/policy/src/samphiredeal/policy/graphs/scheduler.py
+++ b/packages/policy/src/samphiredeal/policy/graphs/scheduler.py
@@ -492,7 +492,7 @@
     def _reclaim(self, unit, covered, remote_allowed, now):
         """Preempt other work for the unit if that is allowed and cheap enough."""
         workers = self._reclaimable_workers(unit)
-        rule = reclaim.preemption_rule(unit, self._covered_jobs())
+        rule = reclaim.preemption_rule(unit, self._covered_jobs(), now)
         found = reclaim.find_victims(unit, workers, rule, remote_allowed, now)
         if found is None:
             return
--- a/packages/policy/tests/test_guarantee.py
+++ b/packages/policy/tests/test_guarantee.py
@@ -104,6 +104,27 @@
     assert len(bench.places("b")) == 8
 
 
+# Work at 90% or more was never preempted: guaranteed work waited for 5.1 s for it.
+@pytest.mark.parametrize("percent", [90, 99])
+def test_guaranteed_work_does_not_wait_for_long_for_work_that_is_nearly_done(percent):
+    bench = make_full_bench(make_step(16, 1, estimate_ms=66_000))
+    for name, listed in bench.running.items():
+        for task, _run in listed:
+            bench.percent[name, task] = percent
+    assert begin(bench) == 4
+
+
+def test_work_that_is_nearly_done_may_end_first():
+    bench = make_full_bench(make_step(16, 1, estimate_ms=10_000))
+    for name, listed in bench.running.items():
+        for task, _run in listed:
+            bench.percent[name, task] = 95
+    assert begin(bench, seconds=0.5) == 0
+    bench.end_all("b")
+    bench.step(0.1)
+    assert len(bench.places("u")) == 4
+
+
 # "`fills`: [...] the step's tasks receive the capacity that the other tasks leave
 # unused."
 @pytest.mark.parametrize("guaranteed", [0, 8])
