Preempt other work if a victim does not stop

A stop that has had no effect for 1.2 s now counts no longer as room to come.

Evidence: test_guaranteed_work_begins_elsewhere_if_a_victim_does_not_stop failed on the code before.

--- a/packages/policy/src/samphiredeal/policy/graphs/reclaim.py
+++ b/packages/policy/src/samphiredeal/policy/graphs/reclaim.py
@@ -17,6 +17,9 @@
 # How long work within its account's guarantee waits for them. Together with a stop and
 # a start it has to stay below the 2.7 s within which such work must begin.
 _NEARLY_DONE_WAIT_S = 0.8
+# A stop takes 0.9 s at most. A run that is still there after this time is not expected
+# to end; other work is preempted instead.
+STOP_OVERDUE_S = 1.2
 # A lasting task that is at work reports this percentage.
 _AT_WORK_PERCENT = 100
 
@@ -109,6 +112,12 @@
     return all(p.percent >= _NEARLY_DONE_PERCENT for p in placements)
 
 
+def is_stop_overdue(placement, now):
+    """Return whether a run has not stopped in due time after it was ordered to."""
+    ordered_at = placement.stop_ordered_at
+    return ordered_at is not None and now - ordered_at > STOP_OVERDUE_S
+
+
 def find_victims(unit, workers, may_preempt, remote_allowed, now):
     """Return (cost, places, victims) that let the whole unit start soon, or None.
 
@@ -132,7 +141,7 @@
     Greedily adds the cheapest next member; units already chosen cost nothing more.
     """
     free_by_worker = {
-        worker.name: _free_after_stops(unit, worker) for worker in workers
+        worker.name: _free_after_stops(unit, worker, now) for worker in workers
     }
     places, victims, total = {}, {}, 0.0
     for _member in range(unit.count):
@@ -157,11 +166,11 @@
     return total, places, list(victims.values())
 
 
-def _free_after_stops(unit, worker):
+def _free_after_stops(unit, worker, now):
     """Return the free capacity of a worker once its stopping runs have ended."""
     free = worker.capacity_for(unit)
     for placement in worker.placements.values():
-        if placement.stopping:
+        if placement.stopping and not is_stop_overdue(placement, now):
             free = free.plus(placement.shape)
     return free
 
--- a/packages/policy/src/samphiredeal/policy/graphs/scheduler.py
+++ b/packages/policy/src/samphiredeal/policy/graphs/scheduler.py
@@ -206,6 +206,8 @@
                 last = placement.stop_sent_at
                 if last is None or now - last > _STOP_RETRY_S:
                     placement.stop_sent_at = now
+                    if placement.stop_ordered_at is None:
+                        placement.stop_ordered_at = now
                     stops.append((placement.task, placement.run))
             elif placement.status == ORDERED and placement.sent_at is None:
                 placement.sent_at = now
@@ -387,7 +389,7 @@
         workers = self._usable_workers(unit, fitting.is_allowed)
         if unit.job.record.advice is not None:
             workers = self._workers_with_ticket(unit, workers)
-        if unit.claim and not self._is_claim_useful(unit):
+        if unit.claim and not self._is_claim_useful(unit, now):
             self._claim(unit, {})
 
         def available_on(worker):
@@ -437,10 +439,14 @@
             return workers
         return [one for one in workers if self.tickets.is_permitted(unit, one)]
 
-    def _is_claim_useful(self, unit):
-        """Return whether the unit may still run where capacity is claimed for it."""
+    def _is_claim_useful(self, unit, now):
+        """Return whether the capacity claimed for a unit is still expected to free."""
         usable = {one.name for one in self._reclaimable_workers(unit)}
-        return unit.claim.keys() <= usable
+        return unit.claim.keys() <= usable and not any(
+            reclaim.is_stop_overdue(placement, now)
+            for name in unit.claim
+            for placement in self.workers[name].placements.values()
+        )
 
     def _workers_with_ticket(self, unit, workers):
         """Return the workers with a ticket; request more tickets if needed."""
--- a/packages/policy/src/samphiredeal/policy/graphs/state.py
+++ b/packages/policy/src/samphiredeal/policy/graphs/state.py
@@ -42,6 +42,7 @@
         "shape",
         "status",
         "still_looks",
+        "stop_ordered_at",
         "stop_sent_at",
         "stopping",
         "unit",
@@ -67,6 +68,8 @@
         # Time and percentage of the first poll, the base of the speed.
         self.first_look = None
         self.stopping = ""
+        # Times of the first and the last order to stop.
+        self.stop_ordered_at = None
         self.stop_sent_at = None
 
     @property
--- a/packages/policy/tests/test_guarantee.py
+++ b/packages/policy/tests/test_guarantee.py
@@ -143,6 +143,29 @@
     assert begin(bench, 1, fills=True) == 0
 
 
+def stubborn_bench(bench, name):
+    """Make a worker keep its runs when it is ordered to stop them."""
+    orders_for = bench.scheduler.orders_for
+
+    def orders(worker_name, now):
+        starts, stops = orders_for(worker_name, now)
+        return starts, [] if worker_name == name else stops
+
+    bench.scheduler.orders_for = orders
+    return bench
+
+
+# A victim that did not stop when asked held up guaranteed work for as long as it ran.
+@pytest.mark.parametrize("name", ["w0", "w1"])
+def test_guaranteed_work_begins_elsewhere_if_a_victim_does_not_stop(name):
+    step = make_step(2, 8, estimate_ms=60_000)
+    bench = stubborn_bench(make_full_bench(step), name)
+    bench.add(make_record("u", [make_step(1, 8)], priority=0))
+    for _ in range(round(RECLAIM_S / STEP_S)):
+        bench.step(STEP_S)
+    assert len(bench.places("u")) == 1
+
+
 def test_victim_that_ends_meanwhile_frees_its_room():
     bench = make_full_bench(make_step(16, 1))
     bench.add(make_record("u", [make_step(4, 1)], priority=0))
