Bound the open occurrences of a repeated job

Found by the review: a repeated job of which 3,000 occurrences are due at once is accepted, and from then on callers get no answer and no urgent job begins.

Units are kept by occurrence, and a completion closes only its own. Occurrences open up to 1,000 after the first unfinished one, and with as many tasks as a job may have that does not repeat, so that the state of a job is bounded.

--- a/packages/policy/src/samphiredeal/policy/graphs/records.py
+++ b/packages/policy/src/samphiredeal/policy/graphs/records.py
@@ -86,7 +86,7 @@
         job.state,
         job.begun,
         job.reason,
-        tuple(sorted(job.finished_occurrences)),
+        (*range(job.finished_before), *sorted(job.finished_occurrences)),
         units,
     )
 
@@ -102,7 +102,7 @@
     job.begun = progress.begun
     job.reason = progress.reason
     job.ended_at = now if progress.state in FINAL_STATES else None
-    job.finished_occurrences = set(progress.finished_occurrences)
+    job.restore_finished(0, progress.finished_occurrences)
     for key, stored in progress.units.items():
         job.add_occurrence(int(key.split(".", 1)[0]))
         unit = job.units.get(key)
--- a/packages/policy/src/samphiredeal/policy/graphs/reports.py
+++ b/packages/policy/src/samphiredeal/policy/graphs/reports.py
@@ -222,7 +222,7 @@
         _fail_unit(unit, worker, ran_s, now)
     else:
         _stop_remaining(unit, ended.how)
-    unit.job.close_finished(now)
+    unit.job.close_finished(now, unit.occurrence)
 
 
 def _finish_unit(unit, worker, now):
@@ -274,7 +274,7 @@
     if refused.reason == runs.NO_TICKET:
         scheduler.tickets.drop(unit, worker)
     _stop_remaining(unit, f"a member of its gang was refused: {refused.reason}")
-    unit.job.close_finished(now)
+    unit.job.close_finished(now, unit.occurrence)
 
 
 def _resend_orders(worker, report, listed, now):
--- a/packages/policy/src/samphiredeal/policy/graphs/state.py
+++ b/packages/policy/src/samphiredeal/policy/graphs/state.py
@@ -5,7 +5,7 @@
 known not to run it any more.
 """
 
-from samphiredeal.model.graph import TaskName
+from samphiredeal.model.graph import MAX_TASKS, TaskName
 from samphiredeal.model.shape import NOTHING, Shape
 
 QUEUED = "queued"
@@ -15,6 +15,11 @@
 CANCELLED = "cancelled"
 FINAL_STATES = (COMPLETED, FAILED, CANCELLED)
 
+# Occurrences of a repeated job are opened up to this many after the first unfinished
+# one, and no more than hold as many tasks as a job may have that does not repeat. Both
+# bound the state and the stored progress of the job.
+MAX_OPEN_OCCURRENCES = 1000
+
 # Placement status: a start has been decided, or the worker lists the run.
 ORDERED = "ordered"
 LISTED = "listed"
@@ -180,6 +185,9 @@
         self.begun = False
         self.reason = ""
         self.units = {}
+        self._units_of = {}
+        # All occurrences below the first number are finished, and those of the set.
+        self.finished_before = 0
         self.finished_occurrences = set()
         self.next_occurrence = 0
         self.dirty = False
@@ -220,24 +228,45 @@
         return spec.first_due_ms + occurrence * spec.interval_ms
 
     def add_due_occurrences(self, wall_ms):
-        """Create the units of all occurrences that are due by now."""
+        """Create the units of the occurrences that are due, as many as may be open."""
         spec = self.record.spec
-        while self.next_occurrence < spec.occurrences:
+        while self.next_occurrence < spec.occurrences and self._may_open_another():
             if spec.repeats and self.due_ms(self.next_occurrence) > wall_ms:
                 return
             self.add_occurrence(self.next_occurrence)
             self.next_occurrence += 1
 
+    def _may_open_another(self):
+        tasks = sum(step.count for step in self.record.spec.steps)
+        is_near = self.next_occurrence - self.finished_before < MAX_OPEN_OCCURRENCES
+        is_small = (len(self._units_of) + 1) * tasks <= MAX_TASKS
+        return is_near and (is_small or not self._units_of)
+
+    def restore_finished(self, before, others):
+        """Set which occurrences are finished: all below a number, and some others."""
+        self.finished_before = before
+        self.finished_occurrences = set(others)
+        self._advance_finished()
+        self.next_occurrence = self.finished_before
+
+    def is_finished(self, occurrence):
+        """Return whether all tasks of an occurrence are done and recorded as such."""
+        return (
+            occurrence < self.finished_before or occurrence in self.finished_occurrences
+        )
+
     def add_occurrence(self, occurrence):
         """Create the units of an occurrence unless they exist or are finished."""
-        if occurrence in self.finished_occurrences:
+        if self.is_finished(occurrence) or occurrence in self._units_of:
             return
+        units = self._units_of[occurrence] = {}
         for step, spec in enumerate(self.record.spec.steps):
             members = range(spec.count)
             groups = [tuple(members)] if spec.gang else [(i,) for i in members]
             for indexes in groups:
                 unit = Unit(self, occurrence, step, indexes)
-                self.units.setdefault(unit.key, unit)
+                units[unit.key] = unit
+        self.units.update(units)
 
     def unit_of(self, name):
         """Return the unit that holds a task, or None."""
@@ -251,29 +280,38 @@
 
     def steps_done(self, occurrence):
         """Return the numbers of the steps whose tasks are all done."""
-        left = {
-            unit.step
-            for unit in self.units.values()
-            if unit.occurrence == occurrence and not unit.done
-        }
+        units = self._units_of.get(occurrence, {}).values()
+        left = {unit.step for unit in units if not unit.done}
         return set(range(len(self.record.spec.steps))) - left
 
-    def close_finished(self, now):
-        """Close finished occurrences; complete the job if all tasks are done."""
-        for occurrence in {unit.occurrence for unit in self.units.values()}:
-            members = [u for u in self.units.values() if u.occurrence == occurrence]
-            if all(unit.done and not unit.placements for unit in members):
-                self.finished_occurrences.add(occurrence)
-                for step in range(len(self.record.spec.steps)):
-                    self.wait_reasons.pop((occurrence, step), None)
-                for unit in members:
-                    del self.units[unit.key]
-                self.dirty = True
+    def close_finished(self, now, occurrence=None):
+        """Close a finished occurrence, or all; complete the job if all tasks are done.
+
+        Naming the occurrence of a unit that has changed saves looking at all others.
+        """
+        for number in list(self._units_of) if occurrence is None else [occurrence]:
+            units = self._units_of.get(number, {}).values()
+            if units and all(unit.done and not unit.placements for unit in units):
+                self._close_occurrence(number)
         if not self.active or self.next_occurrence < self.record.spec.occurrences:
             return
         if all(unit.done for unit in self.units.values()):
             self.end(COMPLETED, "", now)
 
+    def _close_occurrence(self, occurrence):
+        for step in range(len(self.record.spec.steps)):
+            self.wait_reasons.pop((occurrence, step), None)
+        for key in self._units_of.pop(occurrence):
+            del self.units[key]
+        self.finished_occurrences.add(occurrence)
+        self._advance_finished()
+        self.dirty = True
+
+    def _advance_finished(self):
+        while self.finished_before in self.finished_occurrences:
+            self.finished_occurrences.remove(self.finished_before)
+            self.finished_before += 1
+
     def end(self, state, reason, now):
         """Put the job into a final state."""
         self.state = state
