Refuse a job whose row the store would reject

The store rejected the write, and the caller was told to come back, each time again. The table now tells its limits (the size of a row from the settings, the bytes and operations of a write), and such a job is refused at once with its size. Answers by which the store rejects a call for its content are told apart from those that may be tried again. MemoryTable keeps the same limits.

--- a/packages/cli/src/samphiredeal/cli/platform_roles.py
+++ b/packages/cli/src/samphiredeal/cli/platform_roles.py
@@ -17,6 +17,7 @@
 from samphiredeal.platform.client import HttpClient, HttpTable
 from samphiredeal.platform.operator import OPERATOR_TABLE
 from samphiredeal.platform.settings import read_settings
+from samphiredeal.platform.table import Limits
 from samphiredeal.wire import link
 
 # Delay before the process exits, in which the last answers are sent.
@@ -34,7 +35,7 @@
         clock,
         settings.node,
         f"{settings.ip}:{settings.link_port}",
-        HttpTable(store),
+        HttpTable(store, limits=Limits(row_bytes=settings.store_row_bytes)),
         HttpTable(store, OPERATOR_TABLE),
         lambda address: link.connect(reactor, address),
         settings.bounds,
--- a/packages/entry/src/samphiredeal/entry/graphs/call_handler.py
+++ b/packages/entry/src/samphiredeal/entry/graphs/call_handler.py
@@ -208,9 +208,14 @@
             spec=spec,
             advice=queue.advice,
         )
-        key = work.job_key(job_id)
+        key, value = work.job_key(job_id), records.encode(record)
+        limit = self._table.limits.row_bytes
+        if len(value) > limit:
+            # The store would reject it, and this caller would wait for an answer.
+            reason = f"job: {len(value)} bytes exceed the limit of {limit}"
+            return JobAnswer(answers.MALFORMED, reason=reason)
         answer = await self._write_resolver.write(
-            call, [Condition(key, 0)], [Put(key, records.encode(record))]
+            call, [Condition(key, 0)], [Put(key, value)]
         )
         if isinstance(answer, Committed | Conflict):
             return JobAnswer(answers.ACCEPTED)
--- a/packages/entry/src/samphiredeal/entry/graphs/feed_confirmation.py
+++ b/packages/entry/src/samphiredeal/entry/graphs/feed_confirmation.py
@@ -53,6 +53,7 @@
         self.scan = table.scan
         self.snapshot = table.snapshot
         self.changes = table.changes
+        self.limits = table.limits
 
     def write(self, conditions, puts, deletes=()):
         """Return a Deferred of the answer to a conditional write."""
--- a/packages/platform/src/samphiredeal/platform/client.py
+++ b/packages/platform/src/samphiredeal/platform/client.py
@@ -33,6 +33,7 @@
     Committed,
     Conflict,
     HistoryLost,
+    Limits,
     Row,
     Unavailable,
 )
@@ -46,6 +47,10 @@
 _JSON = Headers({b"content-type": [b"application/json"]})
 # Statuses of a service that refused a call without any effect.
 _REFUSED_STATUSES = (429, 503)
+# The call is malformed, exceeds a limit or writes what only others may write.
+_REJECTED_STATUSES = (400, 403, 413)
+_MAX_LOGGED_BYTES = 200
+_LIMITS = Limits()
 
 
 class _CallLimiter:
@@ -153,10 +158,11 @@
 class HttpTable:
     """The table interface over HTTP, for one table and one part of the store."""
 
-    def __init__(self, platform, table="samphiredeal", part=""):
+    def __init__(self, platform, table="samphiredeal", part="", limits=_LIMITS):
         self._platform = platform
         self._table = table
         self._part = part
+        self.limits = limits
 
     def read(self, key):
         """Return a Deferred of the row; see `samphiredeal.platform.table`."""
@@ -290,7 +296,13 @@
 def _unavailable(answer):
     if isinstance(answer, Unavailable):
         return answer
-    return Unavailable(f"status {answer[0]}", answer[0] in _REFUSED_STATUSES)
+    status, body = answer
+    if status in _REJECTED_STATUSES:
+        detail = body[:_MAX_LOGGED_BYTES].decode(errors="replace")
+        return Unavailable(
+            f"status {status}: {detail}", not_applied=True, rejected=True
+        )
+    return Unavailable(f"status {status}", status in _REFUSED_STATUSES)
 
 
 def _body(answer, expected):
--- a/packages/platform/src/samphiredeal/platform/memory.py
+++ b/packages/platform/src/samphiredeal/platform/memory.py
@@ -17,6 +17,7 @@
     Committed,
     Conflict,
     HistoryLost,
+    Limits,
     Row,
     Unavailable,
 )
@@ -28,6 +29,7 @@
 class Faults:
     """Faults to inject, and counts of the calls.
 
+    `reads`, `writes` and `rejected` count calls, the last those beyond the limits.
     A store that is `down` refuses every call; one that is `silent` neither applies
     nor answers calls made meanwhile. `delay_s` delays every answer; `lose_answers`
     is the number of writes still to be applied without an answer.
@@ -47,6 +49,7 @@
         self.lose_answers = 0
         self.reads = 0
         self.writes = 0
+        self.rejected = 0
 
     def loses_answer(self):
         """Return whether to lose the answer to this write, and count it if so."""
@@ -86,14 +89,15 @@
 class MemoryTable:
     """An in-memory table; `view` returns one with faults of its own."""
 
-    def __init__(self, clock=None, faults=None):
+    def __init__(self, clock=None, faults=None, limits=None):
         self._clock = clock
         self.faults = faults or Faults()
+        self.limits = limits or Limits()
         self._records = _Records()
 
     def view(self, clock, faults):
         """Return a table on the same rows, with other faults and another clock."""
-        other = MemoryTable(clock, faults)
+        other = MemoryTable(clock, faults, self.limits)
         other._records = self._records
         return other
 
@@ -194,7 +198,23 @@
         self._clock.callLater(records.busy_until - now, apply)
         return answered
 
+    def _excess(self, conditions, puts, deletes):
+        """Return why a write exceeds the limits, or an empty string."""
+        limits = self.limits
+        for key, value in puts:
+            if len(value) > limits.row_bytes:
+                return f"{key}: {len(value)} bytes"
+        if len(conditions) + len(puts) + len(deletes) > limits.operations:
+            return "too many operations"
+        if sum(len(value) for _key, value in puts) > limits.write_bytes:
+            return "too many bytes"
+        return ""
+
     def _apply(self, conditions, puts, deletes):
+        excess = self._excess(conditions, puts, deletes)
+        if excess:
+            self.faults.rejected += 1
+            return Unavailable(excess, not_applied=True, rejected=True)
         for key, version in conditions:
             row = self._records.rows.get(key, Row(key))
             if row.version != version:
--- a/packages/platform/src/samphiredeal/platform/settings.py
+++ b/packages/platform/src/samphiredeal/platform/settings.py
@@ -8,6 +8,8 @@
 
 import yaml
 
+from samphiredeal.platform.table import Limits
+
 SETTINGS_VARIABLE = "SAMPHIREDEAL_CONFIG"
 
 
@@ -43,6 +45,8 @@
     link_port: int
     metrics_port: int
     store_address: str
+    # The largest value of a row.
+    store_row_bytes: int
     advice_address: str
     bounds: Bounds
 
@@ -91,6 +95,7 @@
         link_port=int(ports[0]),
         metrics_port=int(ports[0]) + 1,
         store_address=document["platform"]["address"],
+        store_row_bytes=int(document["platform"].get("row-bytes", Limits().row_bytes)),
         advice_address=document.get("advice") or "",
         bounds=_decode_bounds(document["bounds"]),
     )
--- a/packages/platform/src/samphiredeal/platform/table.py
+++ b/packages/platform/src/samphiredeal/platform/table.py
@@ -10,6 +10,7 @@
   `Committed`, a `Conflict` with the row that violated a condition, or an
   `Unavailable`, after which the write may or may not have been applied.
 - ``snapshot()`` returns all rows as `Changes`, or an `Unavailable`.
+- ``limits`` holds the `Limits` of a row and of a write.
 - ``changes(after, wait_s)`` returns the rows changed after a version as
   `Changes`, waiting up to `wait_s` for the first; a `HistoryLost` if the store
   no longer has them; or an `Unavailable`. A deleted row has version 0.
@@ -78,16 +79,31 @@
     version: int
 
 
+class Limits(NamedTuple):
+    """What one write may hold.
+
+    `row_bytes` bounds a value, `write_bytes` the values of all puts together, and
+    `operations` the number of conditions, puts and deletes. The service rejects a
+    write beyond them.
+    """
+
+    row_bytes: int = 65_536
+    write_bytes: int = 700_000
+    operations: int = 100
+
+
 class Unavailable(NamedTuple):
     """The service did not answer; a write may have been applied.
 
     `not_applied` is set if the call certainly had no effect, `nobody_listens` if
-    no process accepts connections at the service's address.
+    no process accepts connections at the service's address, and `rejected` if the
+    service refused the call for its content, and will refuse it again.
     """
 
     reason: str
     not_applied: bool = False
     nobody_listens: bool = False
+    rejected: bool = False
 
 
 class _Marker(NamedTuple):
