Store the progress of large jobs in rows of bounded size

The store refuses the write; the scheduler repeats it unchanged, with up to 29 other jobs and its own heartbeat, so that nothing is stored and no start is sent any more. The next scheduler decides the same.

Two faults stood behind it. The size: progress that does not fit into a row is now split into a head and rows of 32 tasks of a step each, of which only the changed ones are written, as many as fit into a transaction (bytes and operations, as well as the size of a row). Jobs take turns. Finished occurrences beyond a thousand are a count. Progress that fits is stored as before, so that earlier builds read it.

And that one refused row held up all others: after a write that the store rejects for its content its jobs are written one by one. One that is rejected alone, while the store takes a heartbeat, is logged with its sizes (progress_rejected), fails with the reason and is stored without its units, so that the next scheduler comes to the same end; what cannot be stored even so is left out.

--- a/packages/entry/src/samphiredeal/entry/graphs/dispatcher.py
+++ b/packages/entry/src/samphiredeal/entry/graphs/dispatcher.py
@@ -9,12 +9,11 @@
 from twisted.internet.task import deferLater
 
 from samphiredeal.entry.graphs import work
+from samphiredeal.entry.graphs.progress_store import ProgressStore
 from samphiredeal.entry.graphs.sessions import Sessions
 from samphiredeal.platform.table import (
     Committed,
-    Condition,
     Conflict,
-    Put,
     Unavailable,
     within,
 )
@@ -25,8 +24,6 @@
 _ROUND_DELAY_S = 0.01
 # How often timeouts, due times and stalled runs are checked without an event.
 _TICK_INTERVAL_S = 0.2
-# Each job takes up to three of the 100 operations allowed in a transaction.
-_JOBS_PER_WRITE = 30
 _STORE_RETRY_DELAY_S = 0.15
 _DELETE_INTERVAL_S = 2.0
 # Time allowed for a query to the advice service beyond its declared decision time.
@@ -61,7 +58,7 @@
         self._leadership = leadership
         self._scheduler = GraphScheduler(host.far_factor, host.gang_start_s)
         self._sessions = Sessions(host, leadership, self)
-        self._versions = {}
+        self._progress_store = ProgressStore(host.table.limits)
         self._completions_logged = set()
         self._started_at = self._clock.seconds()
         self._round = None
@@ -98,17 +95,12 @@
         view, scheduler = self._view, self._scheduler
         for job_id, stored in view.jobs.items():
             if job_id not in scheduler.jobs:
-                progress = view.progress.get(job_id)
-                if progress is not None:
-                    self._versions[job_id] = progress.version
-                scheduler.add_job(
-                    stored.value, progress.value if progress else None, now
-                )
-                if progress is None:
+                scheduler.add_job(stored.value, self._load_progress(job_id), now)
+                if job_id not in view.progress:
                     self._log_first_seen(scheduler.jobs[job_id])
         for job_id in [one for one in scheduler.jobs if one not in view.jobs]:
             scheduler.forget_job(job_id)
-            self._versions.pop(job_id, None)
+            self._progress_store.forget(job_id)
             self._completions_logged.discard(job_id)
         for job_id in view.cancels:
             scheduler.cancel_job(job_id, now)
@@ -120,6 +112,15 @@
         scheduler.guarantees = operations.guarantees
         self.schedule_round()
 
+    def _load_progress(self, job_id):
+        """Return the stored `Progress` of a job, or None."""
+        stored = self._view.progress.get(job_id)
+        if stored is None:
+            return None
+        rows = self._view.unit_rows_of(job_id) if stored.value.is_split else {}
+        self._progress_store.track(job_id, stored.version, rows)
+        return records.join(stored.value, rows.values())
+
     def report_received(self, name, report):
         """Process an agent's report."""
         self._scheduler.apply_report(name, report, self._clock.seconds())
@@ -207,12 +208,8 @@
         if not dirty:
             self._sessions.completions_stored(self._sessions.last_completions())
             return
-        for job in dirty[_JOBS_PER_WRITE:]:
-            job.dirty = True
         self._committing = True
-        is_all = len(dirty) <= _JOBS_PER_WRITE
-        jobs = dirty[:_JOBS_PER_WRITE]
-        ensureDeferred(self._store(jobs, is_all)).addErrback(self._commit_failed, jobs)
+        ensureDeferred(self._store(dirty)).addErrback(self._commit_failed, dirty)
 
     def _commit_failed(self, failure, jobs):
         """Store the jobs again after an error, at the interval of a failed write."""
@@ -222,49 +219,78 @@
         self._next_write_at = self._clock.seconds() + _STORE_RETRY_DELAY_S
         log_message(message_type="commit_failed", reason=failure.getTraceback())
 
-    async def _store(self, jobs, is_all):
-        completions = self._sessions.last_completions() if is_all else {}
-        placements = [
-            placement
-            for job in jobs
-            for unit in job.units.values()
-            for placement in unit.placements.values()
-        ]
-        conditions = [self._leadership.condition]
-        puts = []
-        for job in jobs:
-            key = work.progress_key(job.id)
-            conditions.append(Condition(key, self._versions.get(job.id, 0)))
-            if job.active:
-                conditions.append(Condition(work.cancel_key(job.id), 0))
-            puts.append(Put(key, records.encode(records.progress_of(job))))
-        puts.append(self._leadership.next_heartbeat())
+    async def _store(self, dirty):
+        """Store changed jobs, as many as fit into one write."""
+        batch = self._progress_store.next_batch(dirty)
+        whole = {write.job for write in batch.writes if write.is_whole}
+        for job in dirty:
+            job.dirty = job not in whole
+        if not batch.writes:
+            self._committing = False
+            self._sessions.completions_stored(self._sessions.last_completions())
+            return
+        completions = self._sessions.last_completions() if batch.is_all else {}
+        conditions = [self._leadership.condition, *batch.conditions]
+        puts = [*batch.puts, self._leadership.next_heartbeat()]
         began_at = self._clock.seconds()
-        write_answer = self._table.write(conditions, puts)
+        write_answer = self._table.write(conditions, puts, batch.deletes)
         answer = await within(self._clock, self._write_timeout_s, write_answer)
-        self._committing = False
         took_s = self._clock.seconds() - began_at
         self._write_timeout_s = min(
             max(_MIN_WRITE_TIMEOUT_S, 2 * took_s), _MAX_WRITE_TIMEOUT_S
         )
-        self._log_write(jobs, answer, took_s)
+        self._log_write(batch, answer, took_s)
+        if isinstance(answer, Unavailable) and answer.rejected:
+            await self._handle_rejected_write(batch, answer)
+        self._committing = False
         if self._stopped:
             return
         if isinstance(answer, Committed):
-            for job in jobs:
-                self._versions[job.id] = answer.versions[work.progress_key(job.id)]
-            for placement in placements:
+            self._progress_store.committed(batch, answer.versions)
+            for placement in batch.placements:
                 placement.committed = True
             self._leadership.heartbeat_stored(began_at)
             self._sessions.completions_stored(completions)
-            self._log_ended_jobs(jobs)
+            self._log_ended_jobs(batch.jobs)
         else:
-            for job in jobs:
+            for job in batch.jobs:
                 job.dirty = True
             self._handle_failed_write(answer)
         self.schedule_round()
 
-    def _log_write(self, jobs, answer, took_s):
+    async def _handle_rejected_write(self, batch, answer):
+        """Find the job whose rows the store rejects, and end it.
+
+        The same write would be rejected again, and with it the heartbeat and the other
+        jobs. A job is blamed only if the store takes a heartbeat alone.
+        """
+        if len(batch.jobs) > 1:
+            self._progress_store.suspect(batch)
+            return
+        beat_answer = await self._leadership.beat()
+        if self._stopped or not isinstance(beat_answer, Committed):
+            return
+        (job,) = batch.jobs
+        key, size = batch.largest_row
+        log_message(
+            message_type="progress_rejected",
+            epoch=self._leadership.epoch,
+            job=job.id,
+            reason=answer.reason,
+            units=len(job.units),
+            rows=len(batch.puts),
+            largest_row=key,
+            largest_row_bytes=size,
+        )
+        self._progress_store.omit_units(job)
+        self._scheduler.fail_unstorable_job(
+            job.id, f"its progress cannot be stored: {answer.reason}", self._now()
+        )
+
+    def _now(self):
+        return self._clock.seconds()
+
+    def _log_write(self, batch, answer, took_s):
         """Log a write of progress that was slow or did not apply."""
         stored = isinstance(answer, Committed)
         if stored and took_s < _SLOW_WRITE_S:
@@ -272,7 +298,7 @@
         log_message(
             message_type="progress_written",
             epoch=self._leadership.epoch,
-            jobs=[job.id for job in jobs],
+            jobs=[job.id for job in batch.jobs],
             stored=stored,
             reason=getattr(answer, "reason", ""),
             took_s=round(took_s, 3),
@@ -314,7 +340,8 @@
 
     def _handle_failed_write(self, answer):
         if not isinstance(answer, Conflict):
-            self._next_write_at = self._clock.seconds() + _STORE_RETRY_DELAY_S
+            if not answer.rejected:
+                self._next_write_at = self._clock.seconds() + _STORE_RETRY_DELAY_S
             return
         row = answer.row
         prefix, _, job_id = row.key.partition("/")
@@ -325,14 +352,13 @@
             self._scheduler.cancel_job(job_id, self._clock.seconds())
         else:
             # The row was written by an earlier try of ours that had timed out.
-            self._versions[job_id] = row.version
+            self._progress_store.raise_version(job_id, row.version)
             self._update_versions()
 
     def _update_versions(self):
         """Raise the expected versions to those of the rows in the view."""
         for job_id, stored in self._view.progress.items():
-            expected = self._versions.get(job_id, 0)
-            self._versions[job_id] = max(expected, stored.version)
+            self._progress_store.raise_version(job_id, stored.version)
 
     def _delete_old_jobs(self):
         """Delete the rows of jobs that ended long enough ago.
@@ -351,12 +377,7 @@
             and not job.has_placements
             and not job.dirty
         ]
-        key_functions = (work.job_key, work.progress_key, work.cancel_key)
-        keys = [
-            key_of(job_id)
-            for job_id in old[:_JOBS_PER_WRITE]
-            for key_of in key_functions
-        ]
+        keys = self._progress_store.keys_to_delete(old)
         if keys:
             deleted = self._table.write([self._leadership.condition], [], keys)
             deleted.addErrback(_log_failed_deletion)
--- a/packages/entry/src/samphiredeal/entry/graphs/leadership.py
+++ b/packages/entry/src/samphiredeal/entry/graphs/leadership.py
@@ -156,14 +156,19 @@
         if sent_at >= self._heartbeat_sent_at:
             self._heartbeat_due_at = sent_at + HEARTBEAT_INTERVAL_S
 
-    async def _send_heartbeat(self):
+    async def beat(self):
+        """Store a heartbeat alone; return the store's answer."""
         sent_at = self._clock.seconds()
         answer = await self._write_heartbeat(self.next_heartbeat(), self._condition)
+        if isinstance(answer, Committed):
+            self.heartbeat_stored(sent_at)
+        return answer
+
+    async def _send_heartbeat(self):
+        answer = await self.beat()
         if isinstance(answer, Conflict):
             self.step_down("the store rejected the heartbeat: epoch row changed")
-        elif isinstance(answer, Committed):
-            self.heartbeat_stored(sent_at)
-        else:
+        elif not isinstance(answer, Committed):
             log_message(
                 message_type="beat_unanswered",
                 epoch=self._epoch,
--- a/packages/entry/src/samphiredeal/entry/graphs/work.py
+++ b/packages/entry/src/samphiredeal/entry/graphs/work.py
@@ -2,7 +2,8 @@
 
 All are in one partition of one table, so that a transaction can span any of them.
 ``job/ID`` is created by the entry that accepts a job, ``cancel/ID`` by the one that
-accepts its cancel; ``progress/ID`` is written by the scheduler. ``epoch`` names the
+accepts its cancel; ``progress/ID`` is written by the scheduler, and ``units/ID/ROW`` if
+the progress of a job does not fit into one row. ``epoch`` names the
 scheduler, ``beat`` is its heartbeat, ``worker/NAME`` announces an agent and
 ``evicted/NAME`` makes it stop extending its leases; ``entry/NAME`` announces an entry
 to the others.
@@ -23,6 +24,7 @@
 HEARTBEAT_KEY = "beat"
 _JOB = "job/"
 _PROGRESS = "progress/"
+_UNITS = "units/"
 _CANCEL = "cancel/"
 _WORKER = "worker/"
 _EVICTED = "evicted/"
@@ -39,6 +41,11 @@
     return _PROGRESS + job_id
 
 
+def units_key(job_id, row):
+    """Return the key of a row with some units of a job."""
+    return f"{_UNITS}{job_id}/{row}"
+
+
 def cancel_key(job_id):
     """Return the key of a job's cancel."""
     return _CANCEL + job_id
@@ -103,6 +110,7 @@
 _RECORD_TYPES = {
     _JOB: JobRecord,
     _PROGRESS: records.Progress,
+    _UNITS: records.UnitRows,
     _WORKER: WorkerRecord,
     _ENTRY: EntryRecord,
 }
@@ -116,6 +124,8 @@
         self._on_change = on_change
         self.jobs = {}
         self.progress = {}
+        # By ``ID/ROW``.
+        self.units = {}
         self.cancels = {}
         self.workers = {}
         self.evicted = {}
@@ -128,6 +138,7 @@
         self._rows_by_prefix = {
             _JOB: self.jobs,
             _PROGRESS: self.progress,
+            _UNITS: self.units,
             _CANCEL: self.cancels,
             _WORKER: self.workers,
             _EVICTED: self.evicted,
@@ -186,6 +197,15 @@
             value = records.decode(row.value, record_type)
             setattr(self, attribute, Versioned(value, row.version))
 
+    def unit_rows_of(self, job_id):
+        """Return the `UnitRows` of a job by the names of their rows."""
+        prefix = job_id + "/"
+        return {
+            name.removeprefix(prefix): stored.value
+            for name, stored in self.units.items()
+            if name.startswith(prefix)
+        }
+
     def state_of(self, job_id):
         """Return the state of a job as shown to callers, or None if unknown."""
         if job_id not in self.jobs:
--- /dev/null
+++ b/packages/entry/tests/test_progress_store.py
@@ -0,0 +1,268 @@
+"""Writes of progress stay within the limits of the store, whatever the jobs.
+
+Guards against RECLAIM and LOST (inc-progress-rows): the progress of one large repeated
+job outgrew its row, and from then on no task of any job was started.
+"""
+
+import pytest
+from graph_builders import make_facts, make_record, make_scheduler, make_step
+
+from samphiredeal.entry.graphs.progress_store import ProgressStore
+from samphiredeal.model import runs
+from samphiredeal.model.graph import GraphSpec
+from samphiredeal.model.runs import Ended
+from samphiredeal.platform.table import Condition, Limits, Put
+from samphiredeal.policy.graphs import records
+from samphiredeal.policy.graphs.scheduler import GraphScheduler
+
+LIMITS = Limits(row_bytes=4_000, write_bytes=30_000, operations=20)
+EPOCH = Condition("epoch", 1)
+BEAT = Put("beat", b"{}")
+
+
+class Store:
+    """Rows written by a `ProgressStore`, with checks of its limits."""
+
+    def __init__(self, scheduler, limits=LIMITS):
+        self.scheduler = scheduler
+        self.limits = limits
+        self.rows = {}
+        self.version = 0
+        self.progress = ProgressStore(limits)
+        self.writes = 0
+
+    def write_all(self):
+        """Write until nothing is left; return the number of writes."""
+        before = self.writes
+        while True:
+            dirty = self.scheduler.take_dirty()
+            batch = self.progress.next_batch(dirty)
+            whole = {write.job for write in batch.writes if write.is_whole}
+            for job in dirty:
+                job.dirty = job not in whole
+            if not batch.writes:
+                return self.writes - before
+            self.apply(batch)
+
+    def apply(self, batch):
+        puts, deletes = [*batch.puts, BEAT], batch.deletes
+        conditions = [EPOCH, *batch.conditions]
+        assert max(len(value) for _key, value in puts) <= self.limits.row_bytes
+        size = sum(len(value) for _key, value in puts)
+        assert size <= self.limits.write_bytes
+        assert len(puts) + len(deletes) + len(conditions) <= self.limits.operations
+        self.version += 1
+        self.writes += 1
+        for key, value in puts:
+            self.rows[key] = value
+        for key in deletes:
+            self.rows.pop(key, None)
+        self.progress.committed(batch, {key: self.version for key, _value in puts})
+        for placement in batch.placements:
+            placement.committed = True
+
+    def restored(self, record):
+        """Return a new scheduler's state of a job, by its rows."""
+        head = records.decode(self.rows[f"progress/{record.id}"], records.Progress)
+        prefix = f"units/{record.id}/"
+        rows = [
+            records.decode(value, records.UnitRows)
+            for key, value in self.rows.items()
+            if key.startswith(prefix)
+        ]
+        scheduler = GraphScheduler()
+        scheduler.add_job(record, records.join(head, rows), 0.0)
+        return scheduler.jobs[record.id]
+
+
+def make_large(count, gang=False, repeats=0, id="a", **fields):
+    step = make_step(count, 1, gang=gang, estimate_ms=10_000)
+    spec = GraphSpec("payload", (step,), repeats, 0, 1)
+    return make_record(id, spec=spec, **fields)
+
+
+def make_store(*jobs, workers=30, limits=LIMITS):
+    names = [f"w{number}" for number in range(workers)]
+    scheduler = make_scheduler({name: make_facts(name) for name in names})
+    for record in jobs:
+        scheduler.add_job(record, None, 0.0)
+    scheduler.plan(0.0, 1000)
+    return Store(scheduler, limits)
+
+
+def state_of(job):
+    return {
+        key: (unit.run, unit.done, unit.failures, unit.checkpoint, places_of(unit))
+        for key, unit in job.units.items()
+        if unit.run
+    }
+
+
+def places_of(unit):
+    return sorted((p.index, p.worker, p.life) for p in unit.placements.values())
+
+
+def end(scheduler, job, keys, number=1):
+    """End some units as done; return the number of the next completion."""
+    for key in keys:
+        for placement in list(job.units[key].placements.values()):
+            worker = scheduler.workers[placement.worker]
+            ended = Ended(number, placement.task, placement.run, runs.DONE, "")
+            name = next(n for n, one in scheduler.workers.items() if one is worker)
+            report = runs.Report(
+                make_facts(name),
+                ended=(ended,),
+                running=tuple(
+                    runs.Running(p.task, p.run, "", 1)
+                    for p in worker.placements.values()
+                    if p is not placement
+                ),
+            )
+            scheduler.apply_report(name, report, 1.0)
+            number += 1
+    return number
+
+
+@pytest.mark.parametrize("gang", [False, True])
+@pytest.mark.parametrize("count", [1, 30, 100, 230])
+def test_progress_of_any_size_is_stored_within_the_limits(count, gang):
+    record = make_large(count, gang)
+    store = make_store(record)
+    store.write_all()
+    job = store.scheduler.jobs["a"]
+    assert len(job.units) == (1 if gang else count)
+    assert state_of(store.restored(record)) == state_of(job)
+    assert all(p.committed for u in job.units.values() for p in u.placements.values())
+
+
+def test_progress_that_fits_is_one_row_of_the_format_of_earlier_builds():
+    record = make_large(10, repeats=3)
+    store = make_store(record)
+    store.write_all()
+    head = store.rows.pop("progress/a")
+    assert [key for key in store.rows if key.startswith("units/")] == []
+    assert len(records.msgspec.json.decode(head)) == 5
+
+
+def test_only_changed_rows_are_written_again():
+    store = make_store(make_large(200))
+    store.write_all()
+    before = dict(store.rows)
+    job = store.scheduler.jobs["a"]
+    end(store.scheduler, job, ["0.0.5"])
+    assert store.write_all() == 1
+    changed = {key for key in store.rows if store.rows[key] != before.get(key)}
+    assert changed <= {"progress/a", "units/a/0.0.0", "beat"}
+    assert "units/a/0.0.0" in changed
+
+
+def test_rows_of_finished_occurrences_are_deleted():
+    record = make_large(100, repeats=2)
+    store = make_store(record)
+    store.write_all()
+    job = store.scheduler.jobs["a"]
+    end(store.scheduler, job, [f"0.0.{index}" for index in range(100)])
+    store.write_all()
+    assert [key for key in store.rows if key.startswith("units/a/0.")] == []
+    assert [key for key in store.rows if key.startswith("units/a/1.")]
+    assert state_of(store.restored(record)) == state_of(job)
+
+
+def test_rows_of_an_ended_job_are_deleted():
+    record = make_large(100)
+    store = make_store(record)
+    store.write_all()
+    job = store.scheduler.jobs["a"]
+    end(store.scheduler, job, list(job.units))
+    store.write_all()
+    assert job.state == "completed"
+    assert [key for key in store.rows if key.startswith("units/")] == []
+
+
+def test_large_job_does_not_hold_up_the_others():
+    """Something of it is always left to write."""
+    large, small = make_large(230, id="a"), make_large(1, id="b")
+    store = make_store(large, small)
+    for _ in range(2):
+        job = store.scheduler.jobs["a"]
+        job.touch(job.units["0.0.0"])
+        store.apply(store.progress.next_batch(store.scheduler.take_dirty()))
+        for one in store.scheduler.jobs.values():
+            one.dirty = True
+    assert "progress/b" in store.rows
+
+
+def test_jobs_of_a_rejected_write_are_written_one_by_one():
+    jobs = [make_large(2, id=name) for name in "abc"]
+    store = make_store(*jobs)
+    batch = store.progress.next_batch(store.scheduler.take_dirty())
+    assert len(batch.jobs) == 3
+    store.progress.suspect(batch)
+    for job in store.scheduler.jobs.values():
+        job.dirty = True
+    for _ in range(3):
+        dirty = [one for one in store.scheduler.jobs.values() if one.dirty]
+        batch = store.progress.next_batch(dirty)
+        assert len(batch.jobs) == 1
+        store.apply(batch)
+        batch.jobs[0].dirty = False
+
+
+def test_rejected_job_is_stored_without_its_units_and_then_not_at_all():
+    store = make_store(make_large(100))
+    job = store.scheduler.jobs["a"]
+    store.progress.omit_units(job)
+    batch = store.progress.next_batch([job])
+    assert [put.key for put in batch.puts] == ["progress/a"]
+    store.progress.omit_units(job)
+    assert store.progress.next_batch([job]).writes == ()
+
+
+@pytest.mark.parametrize("count", [5, 1000])
+def test_rows_of_old_jobs_are_deleted_within_the_limits(count):
+    store = make_store(make_large(count), workers=130)
+    store.write_all()
+    left = {key for key in store.rows if key.startswith("units/")}
+    assert bool(left) == (count == 1000)
+    for _ in range(40):
+        keys = store.progress.keys_to_delete(["a"])
+        assert len(keys) < LIMITS.operations
+        left.difference_update(keys)
+        assert not left or "job/a" not in keys
+        if "job/a" in keys:
+            break
+    assert not left and "job/a" in keys
+
+
+def test_late_occurrences_open_as_earlier_ones_finish():
+    """Thousands that are due at once do not outgrow the state of one job."""
+    record = make_large(9, repeats=3000)
+    scheduler = make_scheduler({"w": make_facts("w", accelerators=100_000)})
+    scheduler.add_job(record, None, 0.0)
+    job = scheduler.jobs["a"]
+    job.add_due_occurrences(10**9)
+    assert 9 * 1000 <= len(job.units) <= 10_000
+    for unit in list(job.units.values()):
+        unit.done = True
+    job.close_finished(0.0)
+    assert job.finished_before == 1000
+    job.add_due_occurrences(10**9)
+    assert job.next_occurrence == 2000
+
+
+def test_finished_occurrences_beyond_a_thousand_are_stored_as_a_count():
+    record = make_large(1, repeats=5000)
+    scheduler = make_scheduler({"w": make_facts("w")})
+    scheduler.add_job(record, None, 0.0)
+    job = scheduler.jobs["a"]
+    for _ in range(4):
+        job.add_due_occurrences(10**9)
+        for unit in list(job.units.values()):
+            unit.done = True
+        job.close_finished(0.0)
+    data = records.encode(records.progress_of(job))
+    assert len(data) < 1000
+    restored, _placements = records.restore(
+        record, records.decode(data, records.Progress), 0.0
+    )
+    assert restored.finished_before == job.finished_before == 4000
--- a/packages/policy/src/samphiredeal/policy/graphs/records.py
+++ b/packages/policy/src/samphiredeal/policy/graphs/records.py
@@ -9,6 +9,7 @@
 import msgspec
 
 from samphiredeal.model import untrusted
+from samphiredeal.model.compact import without_trailing_defaults
 from samphiredeal.model.graph import JobRecord, validation_error
 from samphiredeal.policy.graphs.state import (
     FINAL_STATES,
@@ -18,6 +19,8 @@
     Placement,
 )
 
+# Up to this many finished occurrences are listed one by one, as earlier builds read it.
+_MAX_LISTED_OCCURRENCES = 1000
 # A number that a row may hold; larger ones do not fit into messages.
 Count = Annotated[int, msgspec.Meta(ge=0, le=untrusted.MAX_INTEGER)]
 
@@ -41,18 +44,30 @@
 
 
 class Progress(NamedTuple):
-    """Progress of a job."""
+    """Progress of a job.
+
+    All occurrences below `finished_before` are finished, and those in
+    `finished_occurrences`. With `is_split`, the units are in `UnitRows`.
+    """
 
     state: str = QUEUED
     begun: bool = False
     reason: str = ""
     finished_occurrences: tuple[int, ...] = ()
     units: dict[str, UnitRecord] = {}
+    finished_before: Count = 0
+    is_split: bool = False
+
+
+class UnitRows(NamedTuple):
+    """Some units of a job whose progress is split into several rows."""
+
+    units: dict[str, UnitRecord] = {}
 
 
 def encode(record):
     """Return a record encoded as JSON bytes."""
-    return msgspec.json.encode(record)
+    return msgspec.json.encode(without_trailing_defaults(record))
 
 
 def decode(data, kind):
@@ -67,27 +82,66 @@
     return record
 
 
-def progress_of(job):
+def progress_of(job, with_units=True):
     """Return the `Progress` of a job; ended jobs keep only their placements."""
     units = {}
-    for key, unit in job.units.items():
-        if unit.placements or (unit.run and job.active):
-            units[key] = UnitRecord(
-                unit.run,
-                unit.done,
-                unit.failures,
-                unit.checkpoint,
-                tuple(
-                    PlaceRecord(p.index, p.worker, p.life)
-                    for p in unit.placements.values()
-                ),
-            )
+    if with_units:
+        for key, unit in job.units.items():
+            record = unit_record(unit, unit.placements.values())
+            if record is not None:
+                units[key] = record
+    finished = sorted(job.finished_occurrences)
+    finished_before = job.finished_before
+    if finished_before <= _MAX_LISTED_OCCURRENCES:
+        finished = [*range(finished_before), *finished]
+        finished_before = 0
     return Progress(
         job.state,
         job.begun,
         job.reason,
-        (*range(job.finished_before), *sorted(job.finished_occurrences)),
+        tuple(finished),
         units,
+        finished_before,
+        not with_units,
+    )
+
+
+def unit_record(unit, placements):
+    """Return a unit's record with some of its placements, or None if it needs none."""
+    if not (unit.placements or (unit.run and unit.job.active)):
+        return None
+    return UnitRecord(
+        unit.run,
+        unit.done,
+        unit.failures,
+        unit.checkpoint,
+        tuple(PlaceRecord(p.index, p.worker, p.life) for p in placements),
+    )
+
+
+def join(progress, rows):
+    """Return the `Progress` of a job with the units of its `UnitRows`.
+
+    The members of a gang may be in several rows, of which some may be older: a gang
+    is started anew only after all its earlier placements are gone.
+    """
+    units = dict(progress.units)
+    for row in rows:
+        for key, record in row.units.items():
+            known = units.get(key)
+            units[key] = record if known is None else _merge(known, record)
+    return progress._replace(units=units)
+
+
+def _merge(first, second):
+    older, newer = sorted((first, second), key=lambda record: record.run)
+    places = newer.places
+    if older.run == newer.run:
+        places += older.places
+    return newer._replace(
+        done=first.done or second.done,
+        failures=max(first.failures, second.failures),
+        places=places,
     )
 
 
@@ -102,7 +156,7 @@
     job.begun = progress.begun
     job.reason = progress.reason
     job.ended_at = now if progress.state in FINAL_STATES else None
-    job.restore_finished(0, progress.finished_occurrences)
+    job.restore_finished(progress.finished_before, progress.finished_occurrences)
     for key, stored in progress.units.items():
         job.add_occurrence(int(key.split(".", 1)[0]))
         unit = job.units.get(key)
--- a/packages/policy/src/samphiredeal/policy/graphs/reports.py
+++ b/packages/policy/src/samphiredeal/policy/graphs/reports.py
@@ -99,7 +99,7 @@
             continue
         placement.life = life
         placement.stop_sent_at = None
-        placement.unit.job.dirty = True
+        placement.unit.job.touch(placement.unit)
         if (placement.task, placement.run) not in listed:
             placement.status = ORDERED
             placement.stopping = _ENDED
@@ -121,7 +121,7 @@
 def _note_lost_run(worker, placement, reason, log_entries):
     """Log that a run is lost, and stop the rest of its gang."""
     unit = placement.unit
-    unit.job.dirty = True
+    unit.job.touch(unit)
     _stop_remaining(unit, "a member of its gang was lost")
     fields = {
         "task": placement.task,
@@ -211,7 +211,7 @@
             },
         )
     )
-    unit.job.dirty = True
+    unit.job.touch(unit)
     if ended.checkpoint and ended.run >= unit.run:
         unit.checkpoint = ended.checkpoint
     if ended.how == runs.DONE and not unit.spec.lasting:
@@ -269,7 +269,7 @@
     )
     _remove(worker, placement)
     unit = placement.unit
-    unit.job.dirty = True
+    unit.job.touch(unit)
     health.record_refusal(worker, refused.reason, now)
     if refused.reason == runs.NO_TICKET:
         scheduler.tickets.drop(unit, worker)
--- a/packages/policy/src/samphiredeal/policy/graphs/scheduler.py
+++ b/packages/policy/src/samphiredeal/policy/graphs/scheduler.py
@@ -19,6 +19,7 @@
 from samphiredeal.policy.graphs.headroom import Headroom
 from samphiredeal.policy.graphs.state import (
     CANCELLED,
+    FAILED,
     LISTED,
     ORDERED,
     JobState,
@@ -90,6 +91,22 @@
         if job is not None and job.active:
             job.end(CANCELLED, "cancelled by its caller", now)
 
+    def fail_unstorable_job(self, job_id, reason, now):
+        """End a job whose progress the store rejects; the next plan stops its runs.
+
+        Starts that are not stored have not been sent, so they are dropped.
+        """
+        job = self.jobs.get(job_id)
+        if job is None:
+            return
+        if job.active:
+            job.end(FAILED, reason, now)
+        for unit in job.units.values():
+            for placement in list(unit.placements.values()):
+                if not placement.committed:
+                    self.workers[placement.worker].remove(placement)
+                    del unit.placements[placement.index]
+
     def forget_job(self, job_id):
         """Drop an ended job and its state."""
         self.jobs.pop(job_id, None)
@@ -148,7 +165,7 @@
             for unit in job.units.values():
                 if unit.placements and unit.checkpoint != unit.stored_checkpoint:
                     unit.stored_checkpoint = unit.checkpoint
-                    job.dirty = True
+                    job.touch(unit)
 
     def objective_s(self, job, wall_ms):
         """Return the estimated time in which the user expects the job to end."""
@@ -474,7 +491,7 @@
             placement = Placement(unit, index, worker, unit.run, now)
             unit.placements[index] = placement
             worker.add(placement)
-        unit.job.dirty = True
+        unit.job.touch(unit)
         waited_s = now - unit.ready_since
         unit.job.longest_wait_s = max(unit.job.longest_wait_s, waited_s)
         unit.job.restarts += unit.run > 1
--- a/packages/policy/src/samphiredeal/policy/graphs/state.py
+++ b/packages/policy/src/samphiredeal/policy/graphs/state.py
@@ -186,6 +186,7 @@
         self.reason = ""
         self.units = {}
         self._units_of = {}
+        self._changed_units = set()
         # All occurrences below the first number are finished, and those of the set.
         self.finished_before = 0
         self.finished_occurrences = set()
@@ -227,6 +228,16 @@
             return self.record.accepted_ms
         return spec.first_due_ms + occurrence * spec.interval_ms
 
+    def touch(self, unit):
+        """Record that the progress of a unit has changed."""
+        self._changed_units.add(unit)
+        self.dirty = True
+
+    def take_changed_units(self):
+        """Return the units touched since the last call."""
+        changed, self._changed_units = self._changed_units, set()
+        return changed
+
     def add_due_occurrences(self, wall_ms):
         """Create the units of the occurrences that are due, as many as may be open."""
         spec = self.record.spec
@@ -278,6 +289,17 @@
             key += f".{name.index}"
         return self.units.get(key)
 
+    def units_in(self, occurrence, step, indexes):
+        """Return the units of a step that have members in a range of indexes."""
+        units = self._units_of.get(occurrence, {})
+        if step >= len(self.record.spec.steps):
+            return []
+        if self.record.spec.steps[step].gang:
+            keys = [f"{occurrence}.{step}"]
+        else:
+            keys = [f"{occurrence}.{step}.{index}" for index in indexes]
+        return [units[key] for key in keys if key in units]
+
     def steps_done(self, occurrence):
         """Return the numbers of the steps whose tasks are all done."""
         units = self._units_of.get(occurrence, {}).values()
--- a/packages/wire/src/samphiredeal/wire/orders.py
+++ b/packages/wire/src/samphiredeal/wire/orders.py
@@ -6,22 +6,13 @@
 
 import msgspec
 
+from samphiredeal.model.compact import without_trailing_defaults
 from samphiredeal.model.runs import Orders, Report
 
 
 def encode(value):
     """Return an `Orders` or a `Report` as bytes."""
-    return msgspec.msgpack.encode(_without_trailing_defaults(value))
-
-
-def _without_trailing_defaults(value):
-    defaults = value._field_defaults
-    used = len(value)
-    for name, content in zip(reversed(value._fields), reversed(value), strict=True):
-        if name not in defaults or defaults[name] != content:
-            break
-        used -= 1
-    return value[:used]
+    return msgspec.msgpack.encode(without_trailing_defaults(value))
 
 
 def decode_orders(data):
