Send an agent no more starts than it can pass on

The scheduler keeps at most 48 starts on their way to an agent, urgent ones first, and sends the next ones as these are reported. A start of which no try was sent or connected has certainly not begun and is refused when it is given up.

--- a/packages/agent/src/samphiredeal/agent/graphs/run_manager.py
+++ b/packages/agent/src/samphiredeal/agent/graphs/run_manager.py
@@ -333,6 +333,10 @@
                     return
             else:
                 is_only_try = is_only_try and answer.not_applied
+            if overdue and is_only_try:
+                # No try has reached the worker.
+                self._start_refused(run, start, runs.UNANSWERED, is_only_try)
+                return
             if overdue:
                 break
             await deferLater(self._clock, _RETRY_S)
--- a/packages/agent/tests/test_lost_answers.py
+++ b/packages/agent/tests/test_lost_answers.py
@@ -11,6 +11,7 @@
 
 from samphiredeal.model import runs
 from samphiredeal.model.runs import Refused, RunId
+from samphiredeal.platform.table import Unavailable
 
 RUN = RunId(TASK, 1)
 # A task that ends before its start is tried again.
@@ -102,6 +103,20 @@
     assert begun or bench.refused() in ({1: reason}, {1: runs.STOPPED})
 
 
+# Guards against RECLAIM (inc-progress-rows): a start that had never been sent counted
+# as in doubt until its deadline, so that urgent work began elsewhere 4 s late.
+def test_start_that_was_never_sent_is_refused_once_it_is_given_up():
+    bench = AgentBench().run(3.0)
+    calls = bench.worker.start
+    unsent = Unavailable("too many calls in flight", not_applied=True)
+    bench.worker.start = lambda *arguments: succeed(unsent)
+    bench.order([1]).run(1.5)
+    assert bench.refused() == {1: runs.UNANSWERED}
+    bench.worker.start = calls
+    bench.run(3.0)
+    assert bench.starts() == []
+
+
 def test_refusal_of_the_only_try_settles_the_start_at_once():
     bench = AgentBench().run(3.0)
     answer_starts(bench, runs.NO_ROOM)
--- a/packages/policy/src/samphiredeal/policy/graphs/scheduler.py
+++ b/packages/policy/src/samphiredeal/policy/graphs/scheduler.py
@@ -33,6 +33,9 @@
 _GANG_START_SHARE = 0.67
 # Members of a finished gang exit on their own within this time.
 _GANG_EXIT_S = 1.0
+# Starts sent to an agent that it has not reported yet. It calls its worker for each,
+# and urgent work must not wait behind hundreds. Below the limit of the agent's calls.
+_MAX_STARTS_IN_FLIGHT = 48
 # A stop without a visible effect is sent again after this time.
 _STOP_RETRY_S = 0.5
 # A step wider than the total capacity divided by this is expected to run in waves.
@@ -212,10 +215,10 @@
     def orders_for(self, worker_name, now):
         """Return (starts, stops) that are due to be sent to a worker's agent."""
         worker = self.workers[worker_name]
-        starts, stops = [], []
+        due, stops, in_flight = [], [], 0
         if not worker.reachable:
             # Its agent would ignore orders for a worker that it does not know.
-            return starts, stops
+            return [], stops
         for placement in worker.placements.values():
             if not placement.committed or placement.life != worker.life:
                 continue
@@ -227,11 +230,23 @@
                         placement.stop_ordered_at = now
                     stops.append((placement.task, placement.run))
             elif placement.status == ORDERED and placement.sent_at is None:
-                placement.sent_at = now
-                ticket = self.tickets.text_for(placement.unit, worker)
-                starts.append(_start_order(placement, ticket))
+                due.append(placement)
+            elif placement.status == ORDERED:
+                in_flight += 1
         stops += [(run.task, run.run) for run in worker.foreign_runs]
-        return starts, stops
+        return self._begin_starts(worker, due, in_flight, now), stops
+
+    def _begin_starts(self, worker, due, in_flight, now):
+        """Return the orders for as many starts as its agent can send at once."""
+        room = max(0, _MAX_STARTS_IN_FLIGHT - in_flight)
+        if len(due) > room:
+            due.sort(key=lambda placement: placement.unit.job.record.priority)
+        starts = []
+        for placement in due[:room]:
+            placement.sent_at = now
+            ticket = self.tickets.text_for(placement.unit, worker)
+            starts.append(_start_order(placement, ticket))
+        return starts
 
     # Decisions
 
