Look only at the claimed workers to keep a claim

Read-through of the change: a claim made the scheduler look at all workers once more for each waiting urgent unit, though only work that disturbs other work needs another choice of workers. A run that is stopped in the next incarnation of its worker counts as ordered to stop from then on.

--- a/packages/entry/src/samphiredeal/entry/graphs/dispatcher.py
+++ b/packages/entry/src/samphiredeal/entry/graphs/dispatcher.py
@@ -283,12 +283,8 @@
             largest_row_bytes=size,
         )
         self._progress_store.omit_units(job)
-        self._scheduler.fail_unstorable_job(
-            job.id, f"its progress cannot be stored: {answer.reason}", self._now()
-        )
-
-    def _now(self):
-        return self._clock.seconds()
+        reason = f"its progress cannot be stored: {answer.reason}"
+        self._scheduler.fail_unstorable_job(job.id, reason, self._clock.seconds())
 
     def _log_write(self, batch, answer, took_s):
         """Log a write of progress that was slow or did not apply."""
--- a/packages/policy/src/samphiredeal/policy/graphs/fitting.py
+++ b/packages/policy/src/samphiredeal/policy/graphs/fitting.py
@@ -38,6 +38,11 @@
     return any(interferes(unit, p.unit) for p in worker.placements.values())
 
 
+def is_sensitive(unit):
+    """Return whether there is work that the unit cannot share a worker with."""
+    return unit.spec.fills or bool(unit.spec.target_latency_ms)
+
+
 def interferes(unit, other):
     """Return whether tasks of two units disturb each other on one worker.
 
--- a/packages/policy/src/samphiredeal/policy/graphs/reports.py
+++ b/packages/policy/src/samphiredeal/policy/graphs/reports.py
@@ -98,7 +98,7 @@
             _remove_lost_placement(worker, placement, _ENDED, log_entries)
             continue
         placement.life = life
-        placement.stop_sent_at = None
+        placement.stop_ordered_at = placement.stop_sent_at = None
         placement.unit.job.touch(placement.unit)
         if (placement.task, placement.run) not in listed:
             placement.status = ORDERED
--- a/packages/policy/src/samphiredeal/policy/graphs/scheduler.py
+++ b/packages/policy/src/samphiredeal/policy/graphs/scheduler.py
@@ -452,32 +452,35 @@
         if unit.job.urgent and not unit.claim:
             share = context.share(unit.job, unit.step)
             if covered or _active_members(unit) < share:
-                self._reclaim(unit, covered, remote_allowed, now)
+                self._reclaim(unit, workers, covered, remote_allowed, now)
         return False
 
     def _usable_workers(self, unit, is_usable):
         """Return the healthy usable workers, or all if those could not hold the unit.
 
-        `is_usable(scheduler, unit, worker)` is one of the rules of `fitting`.
+        `is_usable(scheduler, unit, worker)` is a rule such as `fitting.is_allowed`.
         """
         workers = [one for one in self.workers.values() if is_usable(self, unit, one)]
         healthy = [one for one in workers if not health.is_risky(one, unit)]
         return healthy if fitting.could_hold(unit, healthy) else workers
 
-    def _reclaimable_workers(self, unit):
-        """Return the workers on which other work may be preempted for the unit."""
-        workers = self._usable_workers(unit, fitting.is_eligible)
-        if unit.job.record.advice is None:
-            return workers
-        return [one for one in workers if self.tickets.is_permitted(unit, one)]
+    def _is_reclaimable(self, unit, worker):
+        """Return whether the unit may run on the worker once others have stopped."""
+        return fitting.is_eligible(self, unit, worker) and (
+            unit.job.record.advice is None or self.tickets.is_permitted(unit, worker)
+        )
 
     def _is_claim_useful(self, unit, now):
         """Return whether the capacity claimed for a unit is still expected to free."""
-        usable = {one.name for one in self._reclaimable_workers(unit)}
-        return unit.claim.keys() <= usable and not any(
-            reclaim.is_stop_overdue(placement, now)
-            for name in unit.claim
-            for placement in self.workers[name].placements.values()
+        workers = [self.workers.get(name) for name in unit.claim]
+        return None not in workers and all(
+            self._is_reclaimable(unit, worker)
+            and not health.is_risky(worker, unit)
+            and not any(
+                reclaim.is_stop_overdue(placement, now)
+                for placement in worker.placements.values()
+            )
+            for worker in workers
         )
 
     def _workers_with_ticket(self, unit, workers):
@@ -527,9 +530,13 @@
         )
         unit.ready_since = None
 
-    def _reclaim(self, unit, covered, remote_allowed, now):
-        """Preempt other work for the unit if that is allowed and cheap enough."""
-        workers = self._reclaimable_workers(unit)
+    def _reclaim(self, unit, workers, covered, remote_allowed, now):
+        """Preempt other work for the unit if that is allowed and cheap enough.
+
+        `workers` are those on which it may run as they are.
+        """
+        if fitting.is_sensitive(unit):
+            workers = self._usable_workers(unit, GraphScheduler._is_reclaimable)
         rule = reclaim.preemption_rule(unit, self._covered_jobs(), now)
         found = reclaim.find_victims(unit, workers, rule, remote_allowed, now)
         if found is None:
