--- a/packages/policy/src/samphiredeal/policy/graphs/scheduler.py
+++ b/packages/policy/src/samphiredeal/policy/graphs/scheduler.py
@@ -19,6 +19,7 @@
 from samphiredeal.policy.graphs.headroom import Headroom
 from samphiredeal.policy.graphs.state import (
     CANCELLED,
+    FAILED,
     LISTED,
     ORDERED,
     JobState,
@@ -32,10 +33,11 @@
 _GANG_START_SHARE = 0.67
 # Members of a finished gang exit on their own within this time.
 _GANG_EXIT_S = 1.0
+# Starts sent to an agent that it has not reported yet. It calls its worker for each,
+# and urgent work must not wait behind hundreds. Below the limit of the agent's calls.
+_MAX_STARTS_IN_FLIGHT = 48
 # A stop without a visible effect is sent again after this time.
 _STOP_RETRY_S = 0.5
-# Runs that have reached this percentage are not preempted.
-_NEARLY_DONE_PERCENT = 90
 # A step wider than the total capacity divided by this is expected to run in waves.
 # Urgent work beyond its guarantee preempts other work for one wave at a time.
 _WAVES_PER_CAPACITY = 4
@@ -92,6 +94,22 @@
         if job is not None and job.active:
             job.end(CANCELLED, "cancelled by its caller", now)
 
+    def fail_unstorable_job(self, job_id, reason, now):
+        """End a job whose progress the store rejects; the next plan stops its runs.
+
+        Starts that are not stored have not been sent, so they are dropped.
+        """
+        job = self.jobs.get(job_id)
+        if job is None:
+            return
+        if job.active:
+            job.end(FAILED, reason, now)
+        for unit in job.units.values():
+            for placement in list(unit.placements.values()):
+                if not placement.committed:
+                    self.workers[placement.worker].remove(placement)
+                    del unit.placements[placement.index]
+
     def forget_job(self, job_id):
         """Drop an ended job and its state."""
         self.jobs.pop(job_id, None)
@@ -150,7 +168,7 @@
             for unit in job.units.values():
                 if unit.placements and unit.checkpoint != unit.stored_checkpoint:
                     unit.stored_checkpoint = unit.checkpoint
-                    job.dirty = True
+                    job.touch(unit)
 
     def objective_s(self, job, wall_ms):
         """Return the estimated time in which the user expects the job to end."""
@@ -197,10 +215,10 @@
     def orders_for(self, worker_name, now):
         """Return (starts, stops) that are due to be sent to a worker's agent."""
         worker = self.workers[worker_name]
-        starts, stops = [], []
+        due, stops, in_flight = [], [], 0
         if not worker.reachable:
             # Its agent would ignore orders for a worker that it does not know.
-            return starts, stops
+            return [], stops
         for placement in worker.placements.values():
             if not placement.committed or placement.life != worker.life:
                 continue
@@ -208,13 +226,27 @@
                 last = placement.stop_sent_at
                 if last is None or now - last > _STOP_RETRY_S:
                     placement.stop_sent_at = now
+                    if placement.stop_ordered_at is None:
+                        placement.stop_ordered_at = now
                     stops.append((placement.task, placement.run))
             elif placement.status == ORDERED and placement.sent_at is None:
-                placement.sent_at = now
-                ticket = self.tickets.text_for(placement.unit, worker)
-                starts.append(_start_order(placement, ticket))
+                due.append(placement)
+            elif placement.status == ORDERED:
+                in_flight += 1
         stops += [(run.task, run.run) for run in worker.foreign_runs]
-        return starts, stops
+        return self._begin_starts(worker, due, in_flight, now), stops
+
+    def _begin_starts(self, worker, due, in_flight, now):
+        """Return the orders for as many starts as its agent can send at once."""
+        room = max(0, _MAX_STARTS_IN_FLIGHT - in_flight)
+        if len(due) > room:
+            due.sort(key=lambda placement: placement.unit.job.record.priority)
+        starts = []
+        for placement in due[:room]:
+            placement.sent_at = now
+            ticket = self.tickets.text_for(placement.unit, worker)
+            starts.append(_start_order(placement, ticket))
+        return starts
 
     # Decisions
 
@@ -386,17 +418,10 @@
 
     def _place(self, unit, covered, now, context):
         """Place a unit or preempt work for it; return whether it was placed."""
-        workers = [
-            worker
-            for worker in self.workers.values()
-            if fitting.is_allowed(self, unit, worker)
-        ]
-        healthy = [one for one in workers if not health.is_risky(one, unit)]
-        if fitting.could_hold(unit, healthy):
-            workers = healthy
+        workers = self._usable_workers(unit, fitting.is_allowed)
         if unit.job.record.advice is not None:
             workers = self._workers_with_ticket(unit, workers)
-        if unit.claim and not unit.claim.keys() <= {one.name for one in workers}:
+        if unit.claim and not self._is_claim_useful(unit, now):
             self._claim(unit, {})
 
         def available_on(worker):
@@ -430,6 +455,34 @@
                 self._reclaim(unit, workers, covered, remote_allowed, now)
         return False
 
+    def _usable_workers(self, unit, is_usable):
+        """Return the healthy usable workers, or all if those could not hold the unit.
+
+        `is_usable(scheduler, unit, worker)` is a rule such as `fitting.is_allowed`.
+        """
+        workers = [one for one in self.workers.values() if is_usable(self, unit, one)]
+        healthy = [one for one in workers if not health.is_risky(one, unit)]
+        return healthy if fitting.could_hold(unit, healthy) else workers
+
+    def _is_reclaimable(self, unit, worker):
+        """Return whether the unit may run on the worker once others have stopped."""
+        return fitting.is_eligible(self, unit, worker) and (
+            unit.job.record.advice is None or self.tickets.is_permitted(unit, worker)
+        )
+
+    def _is_claim_useful(self, unit, now):
+        """Return whether the capacity claimed for a unit is still expected to free."""
+        workers = [self.workers.get(name) for name in unit.claim]
+        return None not in workers and all(
+            self._is_reclaimable(unit, worker)
+            and not health.is_risky(worker, unit)
+            and not any(
+                reclaim.is_stop_overdue(placement, now)
+                for placement in worker.placements.values()
+            )
+            for worker in workers
+        )
+
     def _workers_with_ticket(self, unit, workers):
         """Return the workers with a ticket; request more tickets if needed."""
         ready = [one for one in workers if self.tickets.is_permitted(unit, one)]
@@ -456,7 +509,7 @@
             placement = Placement(unit, index, worker, unit.run, now)
             unit.placements[index] = placement
             worker.add(placement)
-        unit.job.dirty = True
+        unit.job.touch(unit)
         waited_s = now - unit.ready_since
         unit.job.longest_wait_s = max(unit.job.longest_wait_s, waited_s)
         unit.job.restarts += unit.run > 1
@@ -478,21 +531,20 @@
         unit.ready_since = None
 
     def _reclaim(self, unit, workers, covered, remote_allowed, now):
-        """Preempt other work for the unit if that is allowed and cheap enough."""
-        covered_jobs = self._covered_jobs()
+        """Preempt other work for the unit if that is allowed and cheap enough.
 
-        def may_preempt(victim):
-            if victim.done or victim.spec.lasting:
-                return False
-            if victim.job.record.priority > unit.job.record.priority:
-                return not _nearly_done(victim)
-            return covered and victim.job.urgent and victim.job.id not in covered_jobs
-
-        found = reclaim.find_victims(unit, workers, may_preempt, remote_allowed, now)
+        `workers` are those on which it may run as they are.
+        """
+        if fitting.is_sensitive(unit):
+            workers = self._usable_workers(unit, GraphScheduler._is_reclaimable)
+        rule = reclaim.preemption_rule(unit, self._covered_jobs(), now)
+        found = reclaim.find_victims(unit, workers, rule, remote_allowed, now)
         if found is None:
             return
         cost, places, victims = found
-        if not covered and cost > _URGENT_LOSS_FACTOR * reclaim.required_core_s(unit):
+        # Lasting work is worth more than any estimate of its duration.
+        is_bounded = not covered and not unit.spec.lasting
+        if is_bounded and cost > _URGENT_LOSS_FACTOR * reclaim.required_core_s(unit):
             return
         self._claim(unit, places)
         for victim in victims:
@@ -510,13 +562,6 @@
     )
 
 
-def _nearly_done(unit):
-    placements = unit.placements.values()
-    return bool(placements) and all(
-        p.percent >= _NEARLY_DONE_PERCENT for p in placements
-    )
-
-
 def _start_order(placement, ticket):
     unit = placement.unit
     payload = unit.job.record.spec.payload
