Log why heartbeats are ignored, polls fail and runs are lost

The record of the incident cannot tell whether an agent took a claim for the end of an incarnation, spoke to another one than it believed, or took refused connections for the end: a heartbeat that is not believed and an answer of another executor left no line, worker_gone named no evidence, and run_lost not the incarnation that the run was placed on. A run that a scheduler finds on a worker without having placed it there is logged, too.

--- a/packages/agent/src/samphiredeal/agent/graphs/run_manager.py
+++ b/packages/agent/src/samphiredeal/agent/graphs/run_manager.py
@@ -108,6 +108,9 @@
         self._refused = {}
         self._stopped = False
         self._extending = None
+        self._ignored_heartbeat = None
+        # The last failure of a poll, "" while polls are answered.
+        self._poll_failure = ""
         self._progress = ProgressTracker()
         self._scheduled_polls = set()
         # Until then, starts sent by an earlier process of this agent may take effect.
@@ -157,10 +160,12 @@
         previous = self._facts
         if previous is not None:
             if facts.born_ms < previous.born_ms:
+                self._log_ignored_heartbeat(facts, "its start time is older")
                 return
             if facts.life == previous.life and sequence <= self._sequence:
                 return
         if facts.life == self._ended_incarnation:
+            self._log_ignored_heartbeat(facts, "its incarnation has ended")
             return
         self._sequence = sequence
         if previous is None or facts.life != previous.life:
@@ -176,6 +181,19 @@
         if changed:
             self._on_change()
 
+    def _log_ignored_heartbeat(self, facts, reason):
+        """Log the first of successive heartbeats that are ignored for one reason."""
+        present = self._facts.life if self._facts is not None else ""
+        ignored = (facts.life, present, reason)
+        if ignored != self._ignored_heartbeat:
+            self._ignored_heartbeat = ignored
+            log_message(
+                message_type="heartbeat_ignored",
+                life=facts.life,
+                present=present,
+                reason=reason,
+            )
+
     def _begin_incarnation(self, previous, facts):
         """Poll a new incarnation; only its answer shows that the earlier one ended."""
         log_message(
@@ -211,7 +229,7 @@
             self._forget_orders()
         self._polled_incarnation = life
 
-    def _end_incarnation(self, life, starts_in_doubt):
+    def _end_incarnation(self, life, starts_in_doubt, evidence):
         """Report that an incarnation has ended; the next one is not known yet.
 
         The starts in doubt may have begun in the next one and stay pending.
@@ -219,6 +237,7 @@
         log_message(
             message_type="worker_gone",
             life=life,
+            evidence=evidence,
             starts_in_doubt=len(starts_in_doubt),
         )
         self._ended_incarnation = life
@@ -509,6 +528,7 @@
             )
 
     def _handle_failed_poll(self, answer, facts):
+        self._log_poll_failure(facts, answer.reason)
         self._refused_connections = (
             self._refused_connections + 1 if answer.nobody_listens else 0
         )
@@ -519,9 +539,25 @@
                 for run, start in self._pending_starts.items()
                 if start.in_flight
             }
-            self._end_incarnation(self._polled_incarnation or facts.life, in_flight)
+            life = self._polled_incarnation or facts.life
+            self._end_incarnation(life, in_flight, "connections refused")
+
+    def _log_poll_failure(self, facts, reason):
+        """Log the first of successive failures of a kind, and the first answer after.
+
+        A worker that answers for another id shows that the one known here is gone or
+        has never been there.
+        """
+        if reason != self._poll_failure:
+            self._poll_failure = reason
+            log_message(
+                message_type="poll_failed" if reason else "poll_answered",
+                life=facts.life,
+                reason=reason,
+            )
 
     def _apply_poll(self, poll, began_at):
+        self._log_poll_failure(self._facts, "")
         self._refused_connections = 0
         life = self._facts.life
         if poll.born_ms != self._facts.born_ms:
@@ -534,7 +570,11 @@
                     run: _PendingStart(None, life, at)
                     for run, at in self._acknowledged_starts.items()
                 }
-                self._end_incarnation(life, {**self._pending_starts, **acknowledged})
+                self._end_incarnation(
+                    life,
+                    {**self._pending_starts, **acknowledged},
+                    f"a poll was answered with the start time {poll.born_ms}",
+                )
             else:
                 self._forget_worker()
             return
--- a/packages/policy/src/samphiredeal/policy/graphs/reports.py
+++ b/packages/policy/src/samphiredeal/policy/graphs/reports.py
@@ -31,7 +31,7 @@
     worker.polls = report.looks
     for running in report.running:
         listed.add(RunId(running.task, running.run))
-        placement = _apply_running(scheduler, worker, running, now)
+        placement = _apply_running(scheduler, worker, running, now, log_entries)
         if placement is not None and new_poll:
             _record_progress(placement, running, polled_at)
     for ended in report.ended:
@@ -97,13 +97,13 @@
             # Its start has not been sent.
             _remove_lost_placement(worker, placement, _ENDED, log_entries)
             continue
-        placement.life = life
+        former_life, placement.life = placement.life, life
         placement.stop_ordered_at = placement.stop_sent_at = None
         placement.unit.job.touch(placement.unit)
         if (placement.task, placement.run) not in listed:
             placement.status = ORDERED
             placement.stopping = _ENDED
-            _note_lost_run(worker, placement, _ENDED, log_entries)
+            _note_lost_run(worker, placement, former_life, _ENDED, log_entries)
 
 
 def remove_all_placements(worker, reason, log_entries):
@@ -115,11 +115,11 @@
 def _remove_lost_placement(worker, placement, reason, log_entries):
     """Remove a placement and stop the rest of its gang."""
     _remove(worker, placement)
-    _note_lost_run(worker, placement, reason, log_entries)
+    _note_lost_run(worker, placement, placement.life, reason, log_entries)
 
 
-def _note_lost_run(worker, placement, reason, log_entries):
-    """Log that a run is lost, and stop the rest of its gang."""
+def _note_lost_run(worker, placement, life, reason, log_entries):
+    """Log that a run is lost with the incarnation `life`; stop the rest of its gang."""
     unit = placement.unit
     unit.job.touch(unit)
     _stop_remaining(unit, "a member of its gang was lost")
@@ -127,18 +127,26 @@
         "task": placement.task,
         "run": placement.run,
         "worker": worker.name,
+        "life": life,
         "reason": reason,
         "saved": bool(unit.checkpoint),
     }
     log_entries.append(("run_lost", fields))
 
 
-def _apply_running(scheduler, worker, running, now):
+def _apply_running(scheduler, worker, running, now, log_entries):
     placement = worker.placements.get((running.task, running.run))
     if placement is None:
         placement = _adopt(scheduler, worker, running.task, running.run, now)
         if placement is None:
             return None
+        fields = {
+            "task": placement.task,
+            "run": placement.run,
+            "worker": worker.name,
+            "life": placement.life,
+        }
+        log_entries.append(("run_found", fields))
     mark_listed(placement, now)
     unit = placement.unit
     if running.checkpoint:
