--- a/packages/platform/src/samphiredeal/platform/memory_worker.py
+++ b/packages/platform/src/samphiredeal/platform/memory_worker.py
@@ -158,6 +158,8 @@
             if task.timer is not None and task.timer.active():
                 task.timer.cancel()
             self._watch("end", self, task.name, task.run, "crashed")
+        if self._lease_timer is not None and self._lease_timer.active():
+            self._lease_timer.cancel()
         polls = self._waiting_polls
         self.__init__(
             self.clock,
