--- a/tests/agent_bench.py
+++ b/tests/agent_bench.py
@@ -72,5 +72,17 @@
         self.run_manager.record_heartbeat(facts, self.number)
         return self
 
+    def begin_life(self, **fields):
+        """End the worker's life, and begin another one with these facts changed."""
+        facts = self.worker.facts._replace(**fields)
+        self.worker.crash()
+        self.worker.facts = facts
+        return self
+
+    def rename_worker(self, worker_id):
+        """Change the worker's id; its runs go on."""
+        self.worker.facts = self.worker.facts._replace(id=worker_id)
+        return self
+
     def refused(self):
         return {one.run: one.reason for one in self.run_manager.report().refused}
