Take a worker's incarnation from its answers, and its end from its lease

What callers saw: tasks at work twice, on executors that were all up (TWICE); and workers out of service for good.

Cause: an agent took claims and failures for proof. A heartbeat that named another incarnation replaced the one known, ordered by start times although the time of day jumps; two refused connections ended it. What it ran was started elsewhere. And as the heartbeats of a life with an earlier start time, or of one declared ended, were ignored for ever, the worker never came back.

Mend: heartbeats are claims. An incarnation is present once a call that names it is answered with its start time, and by a call that was sent after the last answer of the one before. A worker that refuses connections, answers for another id or with an unknown start time is absent, which says nothing of its runs, and is asked again. An incarnation has ended once its lease has certainly expired by the agent's account: polls extend it for 2.5 s after the last answer only. Runs of one that was replaced are settled by the scheduler with the next one, as before.

--- a/packages/agent/src/samphiredeal/agent/graphs/run_manager.py
+++ b/packages/agent/src/samphiredeal/agent/graphs/run_manager.py
@@ -1,8 +1,13 @@
 """Apply the scheduler's orders to the worker and track the runs there.
 
-A run is reported as refused only if it has certainly not begun, and a worker's
-incarnation as ended only if the worker itself has shown it; docs/PROOFS.md lists what
-proves either. Until then a run is reported as pending.
+A run is reported as refused only if it has certainly not begun. Until then it is
+reported as pending.
+
+The worker's incarnation is the one that answers: heartbeats are claims (`claims.py`),
+and an incarnation is present once a call that names it is answered with its start time.
+It is reported as ended only if its lease has certainly expired. What became of the
+runs of one that was replaced is for the scheduler to settle with the next one.
+docs/PROOFS.md lists the proofs.
 
 A start without an answer may still take effect until its own deadline on the
 worker's clock has passed. Once a stop is acknowledged, the worker refuses to start
@@ -13,9 +18,11 @@
 from twisted.internet.defer import ensureDeferred
 from twisted.internet.task import deferLater
 
+from samphiredeal.agent.graphs.claims import Claims
+from samphiredeal.agent.graphs.lease_expiry import LeaseExpiry
 from samphiredeal.agent.graphs.progress import ProgressTracker
 from samphiredeal.model import runs
-from samphiredeal.model.runs import Refused, Report, RunId, Running
+from samphiredeal.model.runs import Refused, Report, RunId, Running, life_name
 from samphiredeal.model.timing import MAX_CLOCK_SLOWDOWN
 from samphiredeal.platform.executor import PollResult, Started
 from samphiredeal.platform.table import Unavailable
@@ -40,9 +47,11 @@
 # A worker on the same VM answers within milliseconds or not at all.
 _STOP_TIMEOUT_S = 0.4
 _RETRY_S = 0.15
-# The worker process counts as terminated after this many consecutive refused
-# connections.
-_DEAD_AFTER_REFUSED_CONNECTIONS = 2
+# The worker counts as absent after this many consecutive refused connections.
+_ABSENT_AFTER_REFUSED_CONNECTIONS = 2
+# Polls extend the lease for this long after the last answer. Answers may be lost for a
+# moment; a lease that is extended without end would never show that its runs are over.
+_EXTEND_UNANSWERED_S = 2.5
 # Allowance for rounding and for the transmission of an order, added to its deadline.
 _DEADLINE_MARGIN_S = 0.1
 # How long after its first try a start may take effect, by this VM's clock.
@@ -69,7 +78,6 @@
         self.life = life
         self.began_at = began_at
         self.expires_at = None
-        self.in_flight = False
         self.refusal = ""
         self.refused_at = None
 
@@ -90,16 +98,21 @@
         self._authority = authority
         self._lease_max_s = lease_max_s
         self._on_change = on_change
+        # The incarnation that is present, as its heartbeats describe it.
         self._facts = None
         self._sequence = -1
+        self._claims = Claims()
+        self._probed = set()
         self._worker_clock = None
         self._last_poll = None
         self._poll_count = 0
         self._poll_sent_at = self._polled_at = clock.seconds()
         self._completions_recorded = 0
-        # The incarnation that the last answer to a poll came from.
-        self._polled_incarnation = ""
+        # The incarnation that the orders and runs known here belong to. It may be
+        # absent for a while.
+        self._known_incarnation = ""
         self._ended_incarnation = ""
+        self._lease_expiry = LeaseExpiry(clock, lease_max_s)
         self._refused_connections = 0
         self._is_poll_failing = False
         self._pending_starts = {}
@@ -118,9 +131,15 @@
 
     @property
     def facts(self):
-        """The `WorkerFacts` of the worker's last heartbeat, or None."""
+        """The `WorkerFacts` of the incarnation that is present, or None."""
         return self._facts
 
+    @property
+    def _is_answering(self):
+        """Whether the incarnation that is present has answered lately."""
+        silent_s = self._clock.seconds() - self._polled_at
+        return self._facts is not None and silent_s < _EXTEND_UNANSWERED_S
+
     def report(self):
         """Return a `Report` of the current state."""
         listed = set()
@@ -140,9 +159,8 @@
             for run in self._acknowledged_starts
             if run not in listed
         )
-        worker = self._facts if self._last_poll is not None else None
         return Report(
-            worker,
+            self._facts,
             self._ended_incarnation,
             self._poll_count,
             int((self._clock.seconds() - self._polled_at) * 1000),
@@ -156,33 +174,57 @@
     # Worker status
 
     def record_heartbeat(self, facts, sequence):
-        """Process a heartbeat of the worker; ignore one older than the last."""
-        previous = self._facts
-        if previous is not None:
-            if facts.born_ms < previous.born_ms:
-                self._log_ignored_heartbeat(facts, "its start time is older")
-                return
-            if facts.life == previous.life and sequence <= self._sequence:
-                return
-        if facts.life == self._ended_incarnation:
-            self._log_ignored_heartbeat(facts, "its incarnation has ended")
+        """Process a heartbeat; ignore a late one of the incarnation that is present."""
+        present = self._facts
+        if present is None or facts.life != present.life:
+            if self._claims.add(facts, sequence):
+                self._spawn(self._probe(facts))
+            return
+        if sequence <= self._sequence:
             return
         self._sequence = sequence
-        if previous is None or facts.life != previous.life:
-            self._begin_incarnation(previous, facts)
-        elif facts.leaving and not previous.leaving:
+        if facts.leaving and not present.leaving:
             log_message(
                 message_type="worker_leaving",
                 life=facts.life,
                 left_ms=facts.leaving_in_ms,
             )
-        changed = previous is None or facts != previous
         self._facts = facts
-        if changed:
+        if facts != present:
             self._on_change()
 
-    def _log_ignored_heartbeat(self, facts, reason):
-        """Log the first of successive heartbeats that are ignored for one reason."""
+    async def _probe(self, facts):
+        """Poll a claimed incarnation; return its `PollResult` or an `Unavailable`."""
+        if facts.life in self._probed:
+            return Unavailable("it is being polled already")
+        self._probed.add(facts.life)
+        began_at = self._clock.seconds()
+        try:
+            answer = await self._calls.poll(
+                self._authority.epoch, 0, None, 0.0, facts.id
+            )
+        finally:
+            self._probed.discard(facts.life)
+        if isinstance(answer, PollResult):
+            self._apply_answer(facts.id, answer, began_at)
+            answered_by = life_name(facts.id, answer.born_ms)
+            if answered_by != facts.life:
+                self._refute(facts, f"{answered_by} answers to its id")
+        elif answer.misdirected:
+            self._refute(facts, answer.reason)
+        return answer
+
+    async def _probe_claims(self):
+        """Poll the claimed incarnations until one is present or nobody answers."""
+        for claim in self._claims.newest_first:
+            answer = await self._probe(claim.facts)
+            is_answered = isinstance(answer, PollResult) or answer.misdirected
+            if self._facts is not None or not is_answered:
+                return
+
+    def _refute(self, facts, reason):
+        """Drop a claim; log the first of successive ones that are refuted alike."""
+        self._claims.pop(facts.id, facts.born_ms)
         present = self._facts.life if self._facts is not None else ""
         ignored = (facts.life, present, reason)
         if ignored != self._ignored_heartbeat:
@@ -194,61 +236,84 @@
                 reason=reason,
             )
 
-    def _begin_incarnation(self, previous, facts):
-        """Poll a new incarnation; only its answer shows that the earlier one ended."""
-        log_message(
-            message_type="worker_life",
-            life=facts.life,
-            before=previous.life if previous else "",
-        )
-        self._facts = facts
-        self._last_poll = None
-        self._worker_clock = None
-        self._refused_connections = 0
-        if previous is not None:
-            self._schedule_poll(_POLL_PAUSE_S)
-
-    def _confirm_incarnation(self):
-        """Drop the state of an earlier incarnation once the new one has answered.
-
-        The scheduler learns from the report that the earlier one has ended. It has the
-        runs stopped that the new one does not list, since a start in flight may still
-        reach it.
+    def _apply_answer(self, worker_id, poll, began_at):
+        """Process an answer to a poll that was sent to `worker_id` at `began_at`."""
+        present = self._facts
+        if present is not None:
+            if life_name(worker_id, poll.born_ms) == present.life:
+                self._apply_poll(poll, began_at)
+                return
+            if began_at < self._polled_at:
+                # The incarnation that is present may have replaced this one.
+                return
+        claim = self._claims.pop(worker_id, poll.born_ms)
+        if claim is not None:
+            self._adopt(claim)
+            self._apply_poll(poll, began_at)
+        elif present is not None:
+            # Its heartbeat will describe it.
+            self._lose_worker(f"{life_name(worker_id, poll.born_ms)} answers")
+
+    def _adopt(self, claim):
+        """Make the incarnation that has answered the one that is present.
+
+        The scheduler learns from the next report if it is another one than before. It
+        has the runs stopped that this one does not list, since a start in flight may
+        still reach it.
         """
+        self._facts, self._sequence = claim
         life = self._facts.life
-        if self._polled_incarnation not in ("", life):
+        if self._known_incarnation != life:
             log_message(
-                message_type="worker_replaced",
-                life=life,
-                before=self._polled_incarnation,
-                starts_in_doubt=len(self._pending_starts),
+                message_type="worker_life", life=life, before=self._known_incarnation
             )
-            self._ended_incarnation = self._polled_incarnation
-        if self._polled_incarnation != life:
+            if self._known_incarnation:
+                log_message(
+                    message_type="worker_replaced",
+                    life=life,
+                    before=self._known_incarnation,
+                    starts_in_doubt=len(self._pending_starts),
+                )
+            self._known_incarnation = life
             self._completions_recorded = 0
             self._forget_orders()
-        self._polled_incarnation = life
+        self._ended_incarnation = ""
+        self._worker_clock = None
+        self._last_poll = None
 
-    def _end_incarnation(self, life, starts_in_doubt, evidence):
-        """Report that an incarnation has ended; the next one is not known yet.
+    def _lose_worker(self, reason):
+        """Stop using the incarnation that is present until it answers again.
 
-        The starts in doubt may have begun in the next one and stay pending.
+        This says nothing about its runs.
         """
         log_message(
-            message_type="worker_gone",
-            life=life,
-            evidence=evidence,
-            starts_in_doubt=len(starts_in_doubt),
+            message_type="worker_absent",
+            life=self._facts.life,
+            reason=reason,
+            starts_in_doubt=len(self._pending_starts),
         )
-        self._ended_incarnation = life
-        self._polled_incarnation = ""
-        self._forget_worker()
-        self._forget_orders()
-        self._pending_starts.update(starts_in_doubt)
-
-    def _forget_worker(self):
+        self._claims.add(self._facts, self._sequence)
         self._facts = None
         self._last_poll = None
+        self._refused_connections = 0
+        self._on_change()
+
+    def _end_expired_incarnation(self):
+        """Report an absent or silent incarnation as ended once its lease has expired.
+
+        By then its starts in doubt are late, too.
+        """
+        life = self._known_incarnation
+        if not life or not self._lease_expiry.expired or self._is_answering:
+            return
+        if self._facts is not None:
+            self._lose_worker("it has not answered until its lease had expired")
+        log_message(
+            message_type="worker_gone", life=life, evidence="its lease has expired"
+        )
+        self._ended_incarnation = life
+        self._known_incarnation = ""
+        self._forget_orders()
         self._on_change()
 
     def _forget_orders(self):
@@ -304,7 +369,7 @@
             self._refuse_unsent(run, start, runs.UNHEALTHY)
             return
         self._pending_starts[run] = start
-        ensureDeferred(self._start(run, start)).addErrback(_log_failure)
+        self._spawn(self._start(run, start))
 
     def _refuse_unsent(self, run, start, reason):
         """Refuse a start that this process has not sent.
@@ -329,15 +394,14 @@
         while self._is_current(run, start):
             if run in self._pending_stops:
                 break
-            start.in_flight = True
+            self._lease_expiry.record_extension()
             answer = await self._calls.start(
                 start.order, epoch, deadline_ms, START_TIMEOUT_S, self._facts.id
             )
-            start.in_flight = False
             if not self._is_current(run, start):
                 if is_only_try:
-                    self._resolve_start_to_ended_worker(run, start, answer)
-                return
+                    self._resolve_start_to_absent_worker(run, start, answer)
+                break
             if isinstance(answer, Started):
                 del self._pending_starts[run]
                 self._acknowledged_starts[run] = self._clock.seconds()
@@ -370,8 +434,8 @@
         is_pending = self._pending_starts.get(run) is start
         return is_pending and facts is not None and facts.life == start.life
 
-    def _resolve_start_to_ended_worker(self, run, start, answer):
-        """Drop a start whose worker has ended unless a next one may have begun it."""
+    def _resolve_start_to_absent_worker(self, run, start, answer):
+        """Drop a start if it has had no effect; the scheduler may send it again."""
         is_unresolved = self._pending_starts.get(run) is start
         had_no_effect = isinstance(answer, Refused) or (
             isinstance(answer, Unavailable) and answer.not_applied
@@ -418,14 +482,16 @@
         if run in self._pending_stops or run in self._refused:
             return
         stop = self._pending_stops[run] = _PendingStop()
-        ensureDeferred(self._stop(run, stop)).addErrback(_log_failure)
+        self._spawn(self._stop(run, stop))
 
     async def _stop(self, run, stop):
         while self._pending_stops.get(run) is stop and not self._stopped:
-            worker_id = self._facts.id if self._facts is not None else ""
-            answer = await self._calls.stop(
-                run, self._authority.epoch, _STOP_TIMEOUT_S, worker_id
-            )
+            facts = self._facts
+            answer = None
+            if facts is not None:
+                answer = await self._calls.stop(
+                    run, self._authority.epoch, _STOP_TIMEOUT_S, facts.id
+                )
             if answer is True:
                 stop.answered_at = self._clock.seconds()
                 log_message(message_type="run_stop", task=run.task, run=run.run)
@@ -458,35 +524,36 @@
 
     async def _poll_once(self):
         """Poll once; return the pause before the next poll in seconds."""
+        self._lease_expiry.observe()
+        self._end_expired_incarnation()
         facts = self._facts
         if facts is None:
-            return _RETRY_S
+            await self._probe_claims()
+            return _RETRY_S if self._facts is None else 0
         authorized = self._authority.authorized
         self._log_authority_change(authorized)
-        deadline_ms, wait_s = None, 0.0
-        if self._worker_clock is not None:
-            wait_s = self._poll_wait_s() if authorized else _UNAUTHORIZED_WAIT_S
-            if authorized:
-                deadline_ms = self._worker_now_ms() + int(self._lease_max_s * 1000)
-        # After a failed call the worker may be another incarnation, whose completions
-        # must not be discarded by the number of one of the earlier incarnation.
-        is_same = self._polled_incarnation == facts.life and not self._is_poll_failing
+        wait_s = self._poll_wait_s() if authorized else _UNAUTHORIZED_WAIT_S
         began_at = self._clock.seconds()
+        deadline_ms = None
+        if authorized and self._is_answering:
+            deadline_ms = self._worker_now_ms() + int(self._lease_max_s * 1000)
+            self._lease_expiry.record_extension()
+        # After a failed call the worker may be another incarnation under the same id,
+        # whose completions must not be discarded by the number of an earlier one's.
         answer = await self._calls.poll(
             self._authority.epoch,
-            self._completions_recorded if is_same else 0,
+            0 if self._is_poll_failing else self._completions_recorded,
             deadline_ms,
             wait_s,
             facts.id,
         )
         self._is_poll_failing = not isinstance(answer, PollResult)
-        if self._facts is None or self._facts.life != facts.life:
-            return 0
         if isinstance(answer, PollResult):
-            self._apply_poll(answer, began_at)
+            self._apply_answer(facts.id, answer, began_at)
             # Polls return at once while completions are unrecorded.
             return _COMPLETIONS_PAUSE_S if answer.ended else _POLL_PAUSE_S
-        self._handle_failed_poll(answer, facts)
+        if self._facts is not None and self._facts.life == facts.life:
+            self._handle_failed_poll(answer, began_at)
         return _RETRY_S
 
     def _poll_wait_s(self):
@@ -507,16 +574,13 @@
     def _scheduled_poll(self, delay_s):
         self._scheduled_polls.discard(delay_s)
         if self._facts is not None and not self._stopped:
-            ensureDeferred(self._poll_concurrently(self._facts)).addErrback(
-                _log_failure
-            )
+            self._spawn(self._poll_concurrently(self._facts))
 
     async def _poll_concurrently(self, facts):
         began_at = self._clock.seconds()
         answer = await self._calls.poll(self._authority.epoch, 0, None, 0.0, facts.id)
-        is_same_incarnation = self._facts is not None and self._facts.life == facts.life
-        if is_same_incarnation and isinstance(answer, PollResult):
-            self._apply_poll(answer, began_at)
+        if isinstance(answer, PollResult):
+            self._apply_answer(facts.id, answer, began_at)
 
     def _log_authority_change(self, authorized):
         if authorized != self._extending:
@@ -527,61 +591,35 @@
                 epoch=self._authority.epoch,
             )
 
-    def _handle_failed_poll(self, answer, facts):
-        self._log_poll_failure(facts, answer.reason)
+    def _handle_failed_poll(self, answer, began_at):
+        self._log_poll_failure(answer.reason)
         self._refused_connections = (
             self._refused_connections + 1 if answer.nobody_listens else 0
         )
-        if self._refused_connections >= _DEAD_AFTER_REFUSED_CONNECTIONS:
-            # Calls that ended before have reached the ended incarnation at most.
-            in_flight = {
-                run: start
-                for run, start in self._pending_starts.items()
-                if start.in_flight
-            }
-            life = self._polled_incarnation or facts.life
-            self._end_incarnation(life, in_flight, "connections refused")
-
-    def _log_poll_failure(self, facts, reason):
-        """Log the first of successive failures of a kind, and the first answer after.
-
-        A worker that answers for another id shows that the one known here is gone or
-        has never been there.
-        """
+        is_replaced = answer.misdirected and began_at >= self._polled_at
+        if (
+            is_replaced
+            or self._refused_connections >= _ABSENT_AFTER_REFUSED_CONNECTIONS
+        ):
+            self._lose_worker(answer.reason)
+
+    def _log_poll_failure(self, reason):
+        """Log the first of successive failures alike, and the first answer after."""
         if reason != self._poll_failure:
             self._poll_failure = reason
             log_message(
                 message_type="poll_failed" if reason else "poll_answered",
-                life=facts.life,
+                life=self._facts.life,
                 reason=reason,
             )
 
     def _apply_poll(self, poll, began_at):
-        self._log_poll_failure(self._facts, "")
+        """Process the lists of the incarnation that is present."""
+        self._log_poll_failure("")
         self._refused_connections = 0
-        life = self._facts.life
-        if poll.born_ms != self._facts.born_ms:
-            # Another incarnation has answered; its heartbeat will describe it.
-            log_message(
-                message_type="poll_of_another_life", life=life, born_ms=poll.born_ms
-            )
-            if life == self._polled_incarnation:
-                acknowledged = {
-                    run: _PendingStart(None, life, at)
-                    for run, at in self._acknowledged_starts.items()
-                }
-                self._end_incarnation(
-                    life,
-                    {**self._pending_starts, **acknowledged},
-                    f"a poll was answered with the start time {poll.born_ms}",
-                )
-            else:
-                self._forget_worker()
-            return
         if self._worker_clock is not None and poll.clock_ms < self._worker_clock[0]:
             # A newer poll on another connection was answered first.
             return
-        self._confirm_incarnation()
         self._worker_clock = (poll.clock_ms, self._clock.seconds())
         self._last_poll = poll
         self._poll_sent_at, self._polled_at = began_at, self._clock.seconds()
@@ -622,6 +660,9 @@
                     self._acknowledged_starts.pop(run, None)
                     self._refused[run] = (start and start.refusal) or runs.STOPPED
 
+    def _spawn(self, coroutine):
+        ensureDeferred(coroutine).addErrback(_log_failure)
+
     def _worker_now_ms(self):
         clock_ms, at = self._worker_clock
         return clock_ms + int((self._clock.seconds() - at) * 1000)
--- a/packages/model/src/samphiredeal/model/runs.py
+++ b/packages/model/src/samphiredeal/model/runs.py
@@ -80,6 +80,11 @@
     ticket: str = ""
 
 
+def life_name(worker_id, born_ms):
+    """Return the string that identifies an incarnation of a worker."""
+    return f"{worker_id}/{born_ms}"
+
+
 class WorkerFacts(NamedTuple):
     """A worker's description of itself.
 
@@ -99,16 +104,17 @@
     @property
     def life(self):
         """A string that identifies this incarnation of the worker."""
-        return f"{self.id}/{self.born_ms}"
+        return life_name(self.id, self.born_ms)
 
 
 class Report(NamedTuple):
     """An agent's report on its worker.
 
     `worker` is None if no worker is known or it does not respond; `ended_life`
-    is the incarnation that certainly runs nothing any more. `pending` are orders
-    whose effect is still unknown. `looks` counts polls of the worker; the lists
-    are `look_age_ms` old. Unless `complete`, the worker has further completions.
+    is the incarnation whose lease has expired, so that it runs nothing any more.
+    `pending` are orders whose effect is still unknown. `looks` counts polls of the
+    worker; the lists are `look_age_ms` old. Unless `complete`, the worker has further
+    completions.
     """
 
     worker: WorkerFacts | None
--- a/packages/model/src/samphiredeal/model/timing.py
+++ b/packages/model/src/samphiredeal/model/timing.py
@@ -14,9 +14,17 @@
 _LEASE_MARGIN_S = 0.4
 
 
+def lease_expiry_s(lease_max_s):
+    """Return the time after which a worker's lease has certainly expired.
+
+    It counts from the sending of the last call that may extend the lease.
+    """
+    return lease_max_s / (1 - MAX_CLOCK_SLOWDOWN) + _LEASE_MARGIN_S
+
+
 def lease_wait_s(lease_max_s):
     """Return the time after which a worker certainly runs nothing any more.
 
     It counts from the last time that the authority to extend leases was renewed.
     """
-    return LEASE_AUTHORITY_S + lease_max_s / (1 - MAX_CLOCK_SLOWDOWN) + _LEASE_MARGIN_S
+    return LEASE_AUTHORITY_S + lease_expiry_s(lease_max_s)
--- a/packages/platform/src/samphiredeal/platform/executor.py
+++ b/packages/platform/src/samphiredeal/platform/executor.py
@@ -150,7 +150,7 @@
             return answer
         status, data = answer
         if status == _OTHER_WORKER_STATUS:
-            return Unavailable("another worker answers here", not_applied=True)
+            return misdirected()
         try:
             fields = untrusted.decode_json(data) if data else {}
         except ValueError as error:
@@ -158,6 +158,12 @@
         return status, fields if isinstance(fields, dict) else {}
 
 
+def misdirected():
+    """Return the outcome of a call that another incarnation than the named answered."""
+    reason = "another worker answers here"
+    return Unavailable(reason, not_applied=True, misdirected=True)
+
+
 def _clock_ms(fields):
     try:
         return untrusted.integer("clock-ms", fields.get("clock-ms", 0))
--- a/packages/platform/src/samphiredeal/platform/memory_worker.py
+++ b/packages/platform/src/samphiredeal/platform/memory_worker.py
@@ -12,7 +12,7 @@
 
 from samphiredeal.model import runs
 from samphiredeal.model.runs import Ended, Refused, RunId, Running
-from samphiredeal.platform.executor import PollResult, Started
+from samphiredeal.platform.executor import PollResult, Started, misdirected
 from samphiredeal.platform.table import Unavailable
 
 # How long an answer to a poll is awaited beyond its own waiting time.
@@ -188,7 +188,7 @@
         if self.faults.down:
             return succeed(_connection_refused())
         if worker_id != self.facts.id:
-            return succeed(_other_worker())
+            return succeed(misdirected())
         self._accept_epoch(epoch)
         if deadline_ms is not None:
             self._extend(deadline_ms)
@@ -217,7 +217,7 @@
         if faults.down:
             return succeed(_connection_refused())
         if worker_id != self.facts.id:
-            return succeed(_other_worker())
+            return succeed(misdirected())
         if faults.late_s:
             self.clock.callLater(faults.late_s, apply)
             return self._time_out(timeout_s)
@@ -317,7 +317,3 @@
 
 def _connection_refused():
     return Unavailable("connection refused", not_applied=True, nobody_listens=True)
-
-
-def _other_worker():
-    return Unavailable("another worker answers here", not_applied=True)
--- a/packages/platform/src/samphiredeal/platform/table.py
+++ b/packages/platform/src/samphiredeal/platform/table.py
@@ -96,14 +96,16 @@
     """The service did not answer; a write may have been applied.
 
     `not_applied` is set if the call certainly had no effect, `nobody_listens` if
-    no process accepts connections at the service's address, and `rejected` if the
-    service refused the call for its content, and will refuse it again.
+    no process accepts connections at the service's address, `rejected` if the
+    service refused the call for its content, and will refuse it again, and
+    `misdirected` if another incarnation answered than the one that the call named.
     """
 
     reason: str
     not_applied: bool = False
     nobody_listens: bool = False
     rejected: bool = False
+    misdirected: bool = False
 
 
 class _Marker(NamedTuple):
