Keep the claim of a worker's next life when connections are refused

A worker that had started again under its id was not known until its next heartbeat if two connections were refused in between: the claim of its former life took the place of the new one. The test failed before.

--- a/packages/agent/src/samphiredeal/agent/graphs/claims.py
+++ b/packages/agent/src/samphiredeal/agent/graphs/claims.py
@@ -43,6 +43,11 @@
             self._by_id.popitem(last=False)
         return True
 
+    def add_former(self, facts, sequence):
+        """Add the claim of an incarnation that has left, unless its id is claimed."""
+        if facts.id not in self._by_id:
+            self._by_id[facts.id] = Claim(facts, sequence)
+
     def pop(self, worker_id, born_ms):
         """Remove and return the claim of an incarnation, or None."""
         claim = self._by_id.get(worker_id)
--- a/packages/agent/src/samphiredeal/agent/graphs/run_manager.py
+++ b/packages/agent/src/samphiredeal/agent/graphs/run_manager.py
@@ -292,7 +292,7 @@
             reason=reason,
             starts_in_doubt=len(self._pending_starts),
         )
-        self._claims.add(self._facts, self._sequence)
+        self._claims.add_former(self._facts, self._sequence)
         self._facts = None
         self._last_poll = None
         self._refused_connections = 0
--- a/packages/agent/tests/test_worker_identity.py
+++ b/packages/agent/tests/test_worker_identity.py
@@ -175,3 +175,15 @@
     assert [(one.run, one.how) for one in bench.run_manager.report().ended] == [
         (1, runs.STOPPED)
     ]
+
+
+# Guards against workers out of service: the claim of a worker that started again under
+# its id was replaced by that of its former life when connections were refused.
+def test_worker_that_starts_again_behind_refused_connections_is_known_at_once():
+    bench = make_bench()
+    bench.begin_life(born_ms=BORN_MS + 500)
+    bench.worker.faults.down = True
+    bench.heartbeat().run(0.6)
+    bench.worker.faults.down = False
+    bench.run(0.3)
+    assert bench.run_manager.report().worker == bench.worker.facts
