Bound the lease so that lasting work is started again in time

Where workers allow leases of 10 s, a lasting task whose worker is lost for good would wait 10.6 s and more for the proof; it has to be at work again 9 s after its last run. Agents extend leases by 6 s at most, as they do on sites with that bound. Schedulers still wait for the site's longest lease, and a restarted agent for that of an earlier process, which may be of another build. The test of the time failed before.

--- a/packages/agent/src/samphiredeal/agent/graphs/lease_expiry.py
+++ b/packages/agent/src/samphiredeal/agent/graphs/lease_expiry.py
@@ -10,13 +10,14 @@
 class LeaseExpiry:
     """The time left until the lease has certainly expired.
 
-    An earlier process of this agent may have extended it until this one started.
+    This process extends it by `extension_s`. An earlier one, perhaps of another build,
+    may have extended it by up to `lease_max_s` until this one started.
     """
 
-    def __init__(self, clock, lease_max_s):
+    def __init__(self, clock, lease_max_s, extension_s):
         self._clock = clock
-        self._longest_s = lease_expiry_s(lease_max_s)
-        self._left_s = self._longest_s
+        self._extended_s = lease_expiry_s(extension_s)
+        self._left_s = lease_expiry_s(lease_max_s)
         self._observed_at = clock.seconds()
 
     @property
@@ -26,7 +27,7 @@
 
     def record_extension(self):
         """Record that a call which may extend the lease is sent now."""
-        self._left_s = self._longest_s
+        self._left_s = max(self._left_s, self._extended_s)
         self._observed_at = self._clock.seconds()
 
     def observe(self):
--- a/packages/agent/src/samphiredeal/agent/graphs/run_manager.py
+++ b/packages/agent/src/samphiredeal/agent/graphs/run_manager.py
@@ -49,6 +49,9 @@
 _RETRY_S = 0.15
 # The worker counts as absent after this many consecutive refused connections.
 _ABSENT_AFTER_REFUSED_CONNECTIONS = 2
+# An extension of the lease, if the worker allows as much. Lasting work has to run again
+# 9 s after it is lost with its worker, and only the expired lease shows the loss.
+_EXTENSION_S = 6.0
 # Polls extend the lease for this long after the last answer. Answers may be lost for a
 # moment; a lease that is extended without end would never show that its runs are over.
 _EXTEND_UNANSWERED_S = 2.5
@@ -96,7 +99,7 @@
         self._clock = clock
         self._calls = calls
         self._authority = authority
-        self._lease_max_s = lease_max_s
+        self._extension_s = min(lease_max_s, _EXTENSION_S)
         self._on_change = on_change
         # The incarnation that is present, as its heartbeats describe it.
         self._facts = None
@@ -112,7 +115,7 @@
         # absent for a while.
         self._known_incarnation = ""
         self._ended_incarnation = ""
-        self._lease_expiry = LeaseExpiry(clock, lease_max_s)
+        self._lease_expiry = LeaseExpiry(clock, lease_max_s, self._extension_s)
         self._refused_connections = 0
         self._is_poll_failing = False
         self._pending_starts = {}
@@ -536,7 +539,7 @@
         began_at = self._clock.seconds()
         deadline_ms = None
         if authorized and self._is_answering:
-            deadline_ms = self._worker_now_ms() + int(self._lease_max_s * 1000)
+            deadline_ms = self._worker_now_ms() + int(self._extension_s * 1000)
             self._lease_expiry.record_extension()
         # After a failed call the worker may be another incarnation under the same id,
         # whose completions must not be discarded by the number of an earlier one's.
--- a/packages/agent/tests/test_worker_identity.py
+++ b/packages/agent/tests/test_worker_identity.py
@@ -17,6 +17,9 @@
 HEARTBEAT_S = 1.5
 # Two heartbeats: an incarnation that answers is in use by then.
 KNOWN_WITHIN_S = 2 * HEARTBEAT_S
+# A lasting task has to be at work again by then, and the time to start it elsewhere.
+LASTING_WORK_AGAIN_S = 9.0
+RESTART_S = 1.0
 
 
 def make_bench(**fields):
@@ -140,6 +143,30 @@
     assert report.running == () and report.pending == ()
 
 
+# Guards against LOST: lasting work has to run again 9 s after its worker is lost for
+# good, which its lease alone shows; the worker would allow a longer one.
+def test_lost_worker_has_ended_in_time_for_lasting_work():
+    bench = make_bench(seconds=60.0, lease_s=10.0).run(10.0).order([1]).run(1.0)
+    bench.worker.crash()
+    bench.worker.faults.down = True
+    bench.run(LASTING_WORK_AGAIN_S - RESTART_S)
+    assert bench.run_manager.report().ended_life == f"i-w/{BORN_MS}"
+
+
+# Guards against TWICE: an earlier process of the agent, perhaps of another build, had
+# extended the lease by as much as the worker allows.
+def test_restarted_agent_waits_for_the_longest_lease_of_an_earlier_process():
+    bench = make_bench(seconds=60.0, lease_s=10.0).order([1]).run(1.0)
+    bench.restart_agent()
+    bench.heartbeat().run(0.2)
+    bench.worker.faults.down = True
+    for _ in range(round(20.0 / 0.05)):
+        bench.run(0.05)
+        report = bench.run_manager.report()
+        assert not report.ended_life or bench.clock.seconds() > 10.0 + 4.7
+    assert report.ended_life == bench.worker.facts.life
+
+
 def test_worker_whose_lease_expired_while_it_refused_connections_comes_back():
     bench = make_bench(seconds=60.0).order([1]).run(1.0)
     life = bench.worker.facts.life
--- a/tests/agent_bench.py
+++ b/tests/agent_bench.py
@@ -19,16 +19,17 @@
     Its authority to extend leases is renewed while `renew_authority` is set.
     """
 
-    def __init__(self, seconds=20.0):
+    def __init__(self, seconds=20.0, lease_s=LEASE_S):
         self.clock = Clock()
         self.events = []
         self.worker = MemoryWorker(
             self.clock,
             make_facts(),
             lambda task: Work(seconds, checkpoint_every_s=1.0),
-            lease_max_s=LEASE_S,
+            lease_max_s=lease_s,
             watch=lambda *event: self.events.append((event[0], event[2], event[3])),
         )
+        self.lease_s = lease_s
         self.authority = LeaseAuthority(self.clock)
         self.renew_authority = True
         self.number = 0
@@ -42,7 +43,7 @@
         if self.run_manager is not None:
             self.run_manager.stop()
         self.run_manager = RunManager(
-            self.clock, self.worker, self.authority, LEASE_S, lambda: None
+            self.clock, self.worker, self.authority, self.lease_s, lambda: None
         )
         ensureDeferred(self.run_manager.poll_worker())
 
