--- a/packages/platform/src/samphiredeal/platform/executor.py
+++ b/packages/platform/src/samphiredeal/platform/executor.py
@@ -176,7 +176,7 @@
     ended = tuple(_ended(row) for row in fields["ended"])
     return PollResult(
         clock_ms=untrusted.integer("clock-ms", fields["clock-ms"]),
-        born_ms=untrusted.integer("born", fields.get("born", 0)),
+        born_ms=untrusted.integer("born", fields["born"]),
         running=tuple(_running(row) for row in fields["running"]),
         ended=ended,
         complete=len(ended) < _MAX_LISTED_COMPLETIONS,
@@ -228,7 +228,7 @@
 
     facts = WorkerFacts(
         id=untrusted.text("id", worker_id),
-        born_ms=integer("born"),
+        born_ms=untrusted.integer("born", document.get("born")),
         service=untrusted.text("service", document.get("service")),
         zone=untrusted.text("zone", document.get("zone")),
         capacity=_capacity(document.get("capacity") or {}),
--- a/packages/platform/tests/test_adapter.py
+++ b/packages/platform/tests/test_adapter.py
@@ -106,7 +106,14 @@
 
 @pytest.mark.parametrize(
     "change",
-    [{"state": "odd"}, {"service": 5}, {"born": "x"}, {"capacity": 3}, {"zone": None}],
+    [
+        {"state": "odd"},
+        {"service": 5},
+        {"born": "x"},
+        {"born": None},
+        {"capacity": 3},
+        {"zone": None},
+    ],
 )
 def test_malformed_heartbeat_is_an_error(change):
     with pytest.raises(ValueError):
@@ -201,8 +208,19 @@
     assert result == PollResult(4, 2, running, ended)
 
 
-def test_malformed_lists_are_unavailable(worker):
-    worker.answer = (200, {"clock-ms": 4, "running": [["a"]], "ended": []})
+# Guards against TWICE (inc-worker-identity): lists without a start time were taken for
+# those of another incarnation, which ended the one that is there.
+@pytest.mark.parametrize(
+    "fields",
+    [
+        {"born": 2, "running": [["a"]], "ended": []},
+        {"running": [], "ended": []},
+        {"born": None, "running": [], "ended": []},
+        {"born": 2.5, "running": [], "ended": []},
+    ],
+)
+def test_malformed_lists_are_unavailable(worker, fields):
+    worker.answer = (200, {"clock-ms": 4, **fields})
     result = call_in_reactor(worker.client.poll, 7, 0, None, 0.0, "i-w")
     assert isinstance(result, Unavailable)
 
