--- a/tests/graph_world.py
+++ b/tests/graph_world.py
@@ -52,8 +52,8 @@
         self._clock = clock
         self.events = []
 
-    def record(self, kind, worker, task, run, how):
-        name = worker.facts.id[2:]
+    def record(self, name, kind, task, run, how):
+        """Record an event on the worker `name`, whose id may have changed."""
         self.events.append(Event(self._clock.seconds(), kind, name, task, run, how))
 
     def starts(self, task=None):
@@ -156,7 +156,7 @@
             self._describe,
             self.gangs,
             LEASE_S,
-            self.event_log.record,
+            lambda kind, _worker, *run: self.event_log.record(name, kind, *run),
         )
         self.add_agent(name)
         self.send_heartbeats(name, 0)
