Keep the stored runs of a job in its head row until they have rows

A job whose progress outgrew its row was split by writes of which the first one emptied the head row, while not all rows with its units fitted into it. A scheduler that took over before the last of these writes read rows without some of the runs, and started their tasks once more, under the same numbers; tasks that were done began again as well.

The head row keeps each unit as it was last stored until a write holds all rows of the unit, also if another scheduler goes on with the split. A place that is in the head row and in a row of its own counts once.

--- a/packages/entry/src/samphiredeal/entry/graphs/dispatcher.py
+++ b/packages/entry/src/samphiredeal/entry/graphs/dispatcher.py
@@ -118,7 +118,7 @@
         if stored is None:
             return None
         rows = self._view.unit_rows_of(job_id) if stored.value.is_split else {}
-        self._progress_store.track(job_id, stored.version, rows)
+        self._progress_store.track(job_id, stored.version, rows, stored.value.units)
         return records.join(stored.value, rows.values())
 
     def report_received(self, name, report):
--- a/packages/entry/src/samphiredeal/entry/graphs/progress_store.py
+++ b/packages/entry/src/samphiredeal/entry/graphs/progress_store.py
@@ -5,6 +5,10 @@
 its last known version, so that a write that the store applies late fails instead of
 overwriting newer rows.
 
+The rows of a job that outgrows its row may not fit into one write. Until a unit has a
+row of its own, the head row keeps the unit as it was last stored: a run that has been
+sent is in the rows after every write.
+
 A job whose rows the store rejects must not hold up the others: the jobs of a rejected
 batch are written one by one, and one that is rejected alone is ended by the caller and
 then stored without its units.
@@ -27,8 +31,9 @@
 class JobWrite(NamedTuple):
     """The part of a write that stores a job, or some of its rows.
 
-    `stored` and `removed` are the names of rows with units, and `placements` those
-    that the write holds. Unless `is_whole`, other changes of the job are left to write.
+    `stored` and `removed` are the names of rows with units, `kept` the units that the
+    head row still keeps, and `placements` those that the write holds. Unless
+    `is_whole`, other changes of the job are left to write.
     """
 
     job: object
@@ -36,6 +41,7 @@
     puts: tuple
     stored: tuple
     removed: tuple
+    kept: dict
     placements: tuple
     is_whole: bool
 
@@ -83,11 +89,15 @@
 
 
 class _Split:
-    """The rows of a split job: those to write, and all that may be in the store."""
+    """The rows of a split job: those to write, and all that may be in the store.
+
+    `kept` are the records of the units that are in the head row only.
+    """
 
-    def __init__(self, stored_names=()):
+    def __init__(self, stored_names=(), kept=None):
         self.pending = set()
         self.stored = set(stored_names)
+        self.kept = kept or {}
 
 
 class _Room:
@@ -113,6 +123,8 @@
         self._limits = limits
         self._versions = {}
         self._splits = {}
+        # Of jobs in one row: the units as last stored, or the row that holds them.
+        self._stored_units = {}
         # When each job was last among those to write.
         self._turns = {}
         self._last_turn = 0
@@ -120,16 +132,19 @@
         self._without_units = set()
         self._unstorable = set()
 
-    def track(self, job_id, version, row_names=()):
-        """Add a stored job with the version of its head row and its other rows."""
+    def track(self, job_id, version, row_names=(), head_units=None):
+        """Add a stored job by its head row's version and units and its other rows."""
         self._versions[job_id] = version
         if row_names:
-            self._splits[job_id] = _Split(row_names)
+            self._splits[job_id] = _Split(row_names, head_units)
+        else:
+            self._stored_units[job_id] = head_units
 
     def forget(self, job_id):
         """Drop the state of a job."""
         self._versions.pop(job_id, None)
         self._splits.pop(job_id, None)
+        self._stored_units.pop(job_id, None)
         self._turns.pop(job_id, None)
         for jobs in (self._suspects, self._without_units, self._unstorable):
             jobs.discard(job_id)
@@ -176,19 +191,23 @@
         room = _Room(self._limits)
         writes = []
         for job in suspects[:1] or dirty[:_MAX_JOBS]:
-            self._last_turn += 1
-            self._turns[job.id] = self._last_turn
-            write = self._compose(job, room)
+            write = self._compose(job, room, is_first=not writes)
             if write is None:
                 break
+            self._last_turn += 1
+            self._turns[job.id] = self._last_turn
             writes.append(write)
             if not write.is_whole:
                 break
         is_all = len(writes) == len(dirty) and all(one.is_whole for one in writes)
         return Batch(tuple(writes), is_all)
 
-    def _compose(self, job, room):
-        """Return the `JobWrite` of as much of a job as fits, or None."""
+    def _compose(self, job, room, is_first):
+        """Return the `JobWrite` of as much of a job as fits, or None.
+
+        The head row shrinks as others take its units. One that is still too large is
+        left to a write in which it comes first.
+        """
         conditions = [
             Condition(work.progress_key(job.id), self._versions.get(job.id, 0))
         ]
@@ -200,7 +219,7 @@
         puts = [Put(work.progress_key(job.id), head.data)]
         placements = list(head.placements)
         stored, removed, is_whole = [], [], True
-        for name in sorted(split.pending) if split else ():
+        for name in _in_order(job, split) if split else ():
             row = progress_rows.encode_row(job, name)
             if not row.data and name not in split.stored:
                 split.pending.discard(name)
@@ -214,7 +233,14 @@
                 stored.append(name)
             else:
                 removed.append(name)
+        kept = {}
         if split:
+            kept = _left_in_head(job, split, {*stored, *removed})
+            if split.kept:
+                head = progress_rows.encode_head(job, kept)
+                if len(head.data) > self._limits.row_bytes and not is_first:
+                    return None
+                puts[0] = Put(work.progress_key(job.id), head.data)
             # The write may be applied even if it is not answered.
             split.stored.update(stored)
         return JobWrite(
@@ -223,6 +249,7 @@
             tuple(puts),
             tuple(stored),
             tuple(removed),
+            kept,
             tuple(placements),
             is_whole,
         )
@@ -237,9 +264,12 @@
             whole = progress_rows.encode_whole(job)
             if len(whole.data) <= self._limits.row_bytes:
                 return whole, None
-            split = self._splits[job.id] = _Split()
+            split = self._splits[job.id] = _Split(kept=self._last_stored_units(job))
             changed = job.units.values()
         split.pending |= progress_rows.row_names(changed)
+        split.pending |= progress_rows.row_names(
+            job.units[key] for key in split.kept if key in job.units
+        )
         # Not needed any more: rows of finished occurrences and, but for placements,
         # those of ended jobs.
         split.pending |= {
@@ -247,7 +277,14 @@
             for name in split.stored
             if not job.active or job.is_finished(int(name.partition(".")[0]))
         }
-        return progress_rows.encode_head(job), split
+        return progress_rows.encode_head(job, split.kept), split
+
+    def _last_stored_units(self, job):
+        """Return the records of a job's units in the one row that it had so far."""
+        stored = self._stored_units.pop(job.id, None)
+        return (
+            progress_rows.decode_units(stored) if isinstance(stored, bytes) else stored
+        )
 
     # Results
 
@@ -261,6 +298,9 @@
             if split is not None:
                 split.pending.difference_update(write.stored, write.removed)
                 split.stored.difference_update(write.removed)
+                split.kept = write.kept
+            elif job_id not in self._without_units:
+                self._stored_units[job_id] = write.puts[0].value
 
     def suspect(self, batch):
         """Write the jobs of a rejected batch one by one from now on."""
@@ -271,3 +311,21 @@
         if job.id in self._without_units:
             self._unstorable.add(job.id)
         self._without_units.add(job.id)
+
+
+def _in_order(job, split):
+    """Return the names of the rows to write, those of units in the head row first."""
+    in_head = progress_rows.row_names(
+        job.units[key] for key in split.kept if key in job.units
+    )
+    return sorted(split.pending, key=lambda name: (name not in in_head, name))
+
+
+def _left_in_head(job, split, written):
+    """Return the records of `split.kept` of which rows are left after a write."""
+    left = split.pending - written
+    return {
+        key: record
+        for key, record in split.kept.items()
+        if key in job.units and progress_rows.row_names([job.units[key]]) & left
+    }
--- a/packages/entry/tests/test_progress_store.py
+++ b/packages/entry/tests/test_progress_store.py
@@ -34,15 +34,20 @@
     def write_all(self):
         """Write until nothing is left; return the number of writes."""
         before = self.writes
-        while True:
-            dirty = self.scheduler.take_dirty()
-            batch = self.progress.next_batch(dirty)
-            whole = {write.job for write in batch.writes if write.is_whole}
-            for job in dirty:
-                job.dirty = job not in whole
-            if not batch.writes:
-                return self.writes - before
+        while self.write_next():
+            pass
+        return self.writes - before
+
+    def write_next(self):
+        """Make one write; return whether there was anything to write."""
+        dirty = self.scheduler.take_dirty()
+        batch = self.progress.next_batch(dirty)
+        whole = {write.job for write in batch.writes if write.is_whole}
+        for job in dirty:
+            job.dirty = job not in whole
+        if batch.writes:
             self.apply(batch)
+        return bool(batch.writes)
 
     def apply(self, batch):
         puts, deletes = [*batch.puts, BEAT], batch.deletes
@@ -63,16 +68,22 @@
 
     def restored(self, record):
         """Return a new scheduler's state of a job, by its rows."""
+        return self.taken_over(record).scheduler.jobs[record.id]
+
+    def taken_over(self, record):
+        """Return the same rows with a new scheduler that has loaded them."""
         head = records.decode(self.rows[f"progress/{record.id}"], records.Progress)
         prefix = f"units/{record.id}/"
-        rows = [
-            records.decode(value, records.UnitRows)
+        rows = {
+            key.removeprefix(prefix): records.decode(value, records.UnitRows)
             for key, value in self.rows.items()
             if key.startswith(prefix)
-        ]
-        scheduler = GraphScheduler()
-        scheduler.add_job(record, records.join(head, rows), 0.0)
-        return scheduler.jobs[record.id]
+        }
+        store = Store(GraphScheduler(), self.limits)
+        store.rows, store.version = self.rows, self.version
+        store.progress.track(record.id, self.version, rows, head.units)
+        store.scheduler.add_job(record, records.join(head, rows.values()), 0.0)
+        return store
 
 
 def make_large(count, gang=False, repeats=0, id="a", **fields):
@@ -102,6 +113,23 @@
     return sorted((p.index, p.worker, p.life) for p in unit.placements.values())
 
 
+def committed_places(job):
+    """Return ``{(task, run): worker}`` of the runs that may have been sent."""
+    return {
+        (placement.task, placement.run): placement.worker
+        for unit in job.units.values()
+        for placement in unit.placements.values()
+        if placement.committed
+    }
+
+
+def add_workers(scheduler, names):
+    for name in names:
+        scheduler.add_worker(name, "a")
+        scheduler.apply_report(name, runs.Report(make_facts(name)), 1.0)
+    scheduler.plan(1.0, 1000)
+
+
 def end(scheduler, job, keys, number=1):
     """End some units as done; return the number of the next completion."""
     for key in keys:
@@ -144,6 +172,49 @@
     assert len(records.msgspec.json.decode(head)) == 5
 
 
+# Guards against TWICE: the head row lost its units before all of them had rows of their
+# own, and a scheduler that took over between the two writes started them once more.
+@pytest.mark.parametrize(("count", "repeats"), [(1, 230), (4, 55), (9, 25)])
+def test_every_write_that_splits_a_job_keeps_what_was_stored(count, repeats):
+    record = make_large(count, repeats=repeats)
+    store = make_store(record, workers=5)
+    store.write_all()
+    job = store.scheduler.jobs["a"]
+    assert not [key for key in store.rows if key.startswith("units/")]
+    end(store.scheduler, job, ["0.0.0"])
+    store.write_all()
+    add_workers(store.scheduler, [f"w{number}" for number in range(5, 30)])
+    writes = 0
+    while store.write_next():
+        writes += 1
+        restored = store.restored(record)
+        assert committed_places(job).items() <= committed_places(restored).items()
+        assert job.is_finished(0) == restored.is_finished(0)
+        if count > 1:
+            assert restored.units["0.0.0"].done
+    assert writes > 1
+    assert state_of(store.restored(record)) == state_of(job)
+
+
+# The same, for a scheduler that takes over before all units have rows of their own.
+def test_new_scheduler_goes_on_splitting_a_job():
+    record = make_large(1, repeats=230)
+    store = make_store(record, workers=5)
+    store.write_all()
+    add_workers(store.scheduler, [f"w{number}" for number in range(5, 30)])
+    store.write_next()
+    for _ in range(3):
+        places = committed_places(store.scheduler.jobs["a"])
+        store = store.taken_over(record)
+        job = store.scheduler.jobs["a"]
+        assert places.items() <= committed_places(job).items()
+        job.touch(job.units["9.0.0"])
+        store.write_next()
+    store.write_all()
+    assert state_of(store.restored(record)) == state_of(job)
+    assert records.decode(store.rows["progress/a"], records.Progress).units == {}
+
+
 def test_only_changed_rows_are_written_again():
     store = make_store(make_large(200))
     store.write_all()
--- a/packages/policy/src/samphiredeal/policy/graphs/progress_rows.py
+++ b/packages/policy/src/samphiredeal/policy/graphs/progress_rows.py
@@ -27,10 +27,18 @@
     return EncodedRow(data, tuple(placements))
 
 
-def encode_head(job):
-    """Return the head row of a job whose units are in rows of their own."""
-    data = records.encode(records.progress_of(job, with_units=False))
-    return EncodedRow(data, ())
+def encode_head(job, kept_units=None):
+    """Return the head row of a job whose units are in rows of their own.
+
+    `kept_units` are the records of units that have no such rows yet, as last stored.
+    """
+    progress = records.progress_of(job, with_units=False)
+    return EncodedRow(records.encode(progress._replace(units=kept_units or {})), ())
+
+
+def decode_units(data):
+    """Return the records of the units in the row of a whole progress."""
+    return records.decode(data, records.Progress).units
 
 
 def row_names(units):
--- a/packages/policy/src/samphiredeal/policy/graphs/records.py
+++ b/packages/policy/src/samphiredeal/policy/graphs/records.py
@@ -123,7 +123,8 @@
     """Return the `Progress` of a job with the units of its `UnitRows`.
 
     The members of a gang may be in several rows, of which some may be older: a gang
-    is started anew only after all its earlier placements are gone.
+    is started anew only after all its earlier placements are gone. A unit that is in
+    the head row as well is there as it was before it had a row of its own.
     """
     units = dict(progress.units)
     for row in rows:
@@ -137,7 +138,8 @@
     older, newer = sorted((first, second), key=lambda record: record.run)
     places = newer.places
     if older.run == newer.run:
-        places += older.places
+        known = {place.index for place in places}
+        places += tuple(one for one in older.places if one.index not in known)
     return newer._replace(
         done=first.done or second.done,
         failures=max(first.failures, second.failures),
