Keep a name's address until nothing can run there any more

The rows of an agent are keyed by its node's name. When another VM announced itself under the name, the scheduler went to its address at once, and took the first report from there for the end of all runs under the name. The first VM may live on, cut off from the entries: its agent, not evicted, goes on extending its worker's lease through the store, and its tasks began elsewhere beside it. Two VMs with one name also took it from each other with each announcement.

A session keeps its address while its agent reports.

The price is that a VM that replaces one with work on it starts nothing for up to 2.5 s and the longest lease.

--- a/packages/entry/src/samphiredeal/entry/graphs/sessions.py
+++ b/packages/entry/src/samphiredeal/entry/graphs/sessions.py
@@ -36,6 +36,8 @@
     def __init__(self, name, address, now):
         self.name = name
         self.address = address
+        # Where the agent is by its row, if it is not at `address`.
+        self.announced_address = address
         self.link = None
         self.connecting = False
         self.retry_at = now
@@ -78,11 +80,11 @@
         for name, stored in workers.items():
             session = self._sessions.get(name)
             if session is None:
-                self._sessions[name] = Session(name, stored.value.address, now)
-                self._connect(self._sessions[name])
-            elif session.address != stored.value.address:
-                session.address = stored.value.address
-                self._close_link(session)
+                session = self._sessions[name] = Session(
+                    name, stored.value.address, now
+                )
+                self._connect(session)
+            session.announced_address = stored.value.address
 
     def close(self):
         self._closed = True
@@ -101,6 +103,8 @@
             if no_report_s > EVICT_AFTER_S:
                 self._evict(session, now)
             self._fail_if_lease_lapsed(session, now)
+            if session.announced_address != session.address:
+                self._move_if_empty(session, now)
             if session.failed and no_report_s > _REMOVE_AFTER_S:
                 self._remove_worker(session)
 
@@ -171,7 +175,8 @@
 
         def connected(link):
             session.connecting = False
-            if self._closed or session.link is not None:
+            is_current = self._sessions.get(session.name) is session
+            if self._closed or not is_current or session.link is not None:
                 link.close()
                 return
             session.link = link
@@ -238,6 +243,29 @@
 
     # Failures
 
+    def _move_if_empty(self, session, now):
+        """Go to the address that the agent has announced, once nothing runs at this.
+
+        The agent at this address may live on, cut off from the entries, and extend its
+        worker's lease. So a name keeps its address while its agent reports, and after
+        that until its leases have expired, unless it has no runs.
+        """
+        is_silent = now - session.no_report_since > UNRESPONSIVE_AFTER_S
+        has_runs = self._dispatcher.scheduler.has_placements_on(session.name)
+        if not session.failed and (has_runs or not is_silent):
+            return
+        log_message(
+            message_type="worker_moved",
+            worker=session.name,
+            before=session.address,
+            address=session.announced_address,
+        )
+        self._close_link(session)
+        moved = Session(session.name, session.announced_address, now)
+        moved.order_number = session.order_number
+        self._sessions[session.name] = moved
+        self._connect(moved)
+
     def _evict(self, session, now):
         """Evict an unresponsive agent through the store, so its leases expire."""
         if session.evicting:
--- a/packages/policy/src/samphiredeal/policy/graphs/scheduler.py
+++ b/packages/policy/src/samphiredeal/policy/graphs/scheduler.py
@@ -132,6 +132,11 @@
             for event, fields in reporting.apply_report(self, worker, report, now):
                 self._log_entries.append(Note(event, fields))
 
+    def has_placements_on(self, worker_name):
+        """Return whether a worker may run anything."""
+        worker = self.workers.get(worker_name)
+        return worker is not None and bool(worker.placements)
+
     def mark_worker_unreachable(self, worker_name):
         """Exclude a worker whose agent is unresponsive from new starts."""
         worker = self.workers.get(worker_name)
--- a/tests/graph_world.py
+++ b/tests/graph_world.py
@@ -150,30 +150,45 @@
         return node.process
 
     def add_worker(self, name, zone="a", rack="r1", accelerators=8):
+        self._add_vm(name, name, make_facts(name, zone, rack, accelerators))
+
+    def replace_vm(self, name):
+        """Start another VM that is known by this name; return its own name.
+
+        The first one is left as it is.
+        """
+        other = f"{name}-b"
+        facts = self.workers[name].facts._replace(id=f"i-{other}")
+        self._add_vm(other, name, facts)
+        return other
+
+    def _add_vm(self, name, known_as, facts):
         self.workers[name] = MemoryWorker(
             self.clock,
-            make_facts(name, zone, rack, accelerators),
+            facts,
             self._describe,
             self.gangs,
             LEASE_S,
             self.event_log.record,
         )
-        self.add_agent(name)
+        self.add_agent(name, known_as)
         self.send_heartbeats(name, 0)
 
-    def add_agent(self, name):
+    def add_agent(self, name, known_as=None):
+        """Start an agent beside a worker, by default known by the worker's name."""
+        known_as = known_as or name
         node = self._add_node(name)
         worker = self.workers[name]
         record = work.WorkerRecord(self.address_of(name), worker.facts.zone)
         node.process = GraphAgent(
             node.clock,
-            name,
+            known_as,
             worker,
             self.table.view(node.clock, node.faults),
             Rows(
-                work.worker_key(name),
+                work.worker_key(known_as),
                 msgspec.json.encode(record),
-                work.evicted_key(name),
+                work.evicted_key(known_as),
             ),
             LEASE_S,
         )
--- /dev/null
+++ b/tests/test_returned_names.py
@@ -0,0 +1,87 @@
+"""Names of agents that come back on another VM, beside one that lives on.
+
+An agent and its executor may be cut off from all entries and still reach the store. The
+operator's replacement has the name and another address. What the first one runs must
+not begin elsewhere before its lease has lapsed.
+"""
+
+import pytest
+from graph_builders import STEP
+from graph_world import HEARTBEAT_S, LEASE_S, check_invariants, make_graph_world
+
+from samphiredeal.model.timing import lease_wait_s
+
+LONG = {**STEP, "count": 1, "estimated-ms": 40_000}
+ENTRIES = ("e0", "e1", "e2")
+# From the silence of an agent until its tasks have begun elsewhere: its eviction, the
+# longest lease, and a second for the next start.
+RESTART_S = 2.5 + lease_wait_s(LEASE_S) + 1.0
+
+
+def start_long_task(world):
+    """Start a task; return the name of its worker."""
+    assert world.submit("e0", "a1", [LONG]).kind == "accepted"
+    world.run_until(lambda: world.event_log.starts("a1.0.0.0"), 5.0)
+    world.run(2.0)
+    return world.event_log.starts("a1.0.0.0")[0].worker
+
+
+def cut_off(world, name):
+    """Cut an agent off from all entries; it still reaches the store."""
+    for entry in ENTRIES:
+        world.network.cut(name, entry)
+
+
+def starts(world):
+    return world.event_log.starts("a1.0.0.0")
+
+
+# Guards against TWICE: the first report from the other VM was taken for the end of all
+# that ran under the name.
+@pytest.mark.parametrize("delay_s", [0.0, 1.0, 3.0, 8.0])
+def test_run_of_a_cut_off_vm_lapses_before_it_starts_elsewhere(delay_s):
+    world = make_graph_world(workers=2)
+    name = start_long_task(world)
+    cut_off(world, name)
+    world.run(delay_s)
+    world.replace_vm(name)
+    world.run(RESTART_S)
+    assert len(starts(world)) == 2
+    world.run(30.0)
+    check_invariants(world)
+
+
+def test_work_starts_on_the_vm_that_replaced_one_without_power():
+    world = make_graph_world(workers=1)
+    name = start_long_task(world)
+    cut_off(world, name)
+    world.kill(name)
+    world.workers[name].crash()
+    world.run(1.0)
+    world.replace_vm(name)
+    world.run(RESTART_S + HEARTBEAT_S)
+    assert len(starts(world)) == 2
+    world.run(40.0)
+    assert world.state(world.scheduler(), "a1") == "completed"
+    check_invariants(world)
+
+
+# An agent that hears no scheduler announces itself again and again.
+def test_announcements_of_a_cut_off_vm_move_no_work_back():
+    world = make_graph_world(workers=1)
+    name = start_long_task(world)
+    cut_off(world, name)
+    world.replace_vm(name)
+    world.run(RESTART_S + 60.0)
+    assert len(starts(world)) == 2
+    assert world.state(world.scheduler(), "a1") == "completed"
+    check_invariants(world)
+
+
+def test_agent_that_reports_keeps_its_name_beside_another_that_claims_it():
+    world = make_graph_world(workers=1)
+    name = start_long_task(world)
+    world.replace_vm(name)
+    world.run(40.0)
+    assert len(starts(world)) == 1
+    assert world.state(world.scheduler(), "a1") == "completed"
