Store the address to which an agent's starts are sent

A new scheduler took an agent's announced address for the place of all runs under its name. If another VM had announced itself under the name of one that was cut off, between two schedulers, the runs of the first were given up at once while it lived on.

The scheduler writes place/NAME, the address to which it sends starts, before it sends the first one there, on the condition of the row's last version. It costs one write for up to 45 agents when they are first seen, and one for each move.

--- a/packages/entry/src/samphiredeal/entry/graphs/sessions.py
+++ b/packages/entry/src/samphiredeal/entry/graphs/sessions.py
@@ -5,13 +5,14 @@
 so that neither a stalled link nor a frozen process prolongs it.
 """
 
+import msgspec
 from eliot import log_message
 from twisted.internet.defer import ensureDeferred
 
 from samphiredeal.entry.graphs import work
 from samphiredeal.entry.graphs.leadership import SCHEDULER_AUTHORITY_S
 from samphiredeal.model.runs import Orders, RunId
-from samphiredeal.platform.table import Committed, Condition, Put
+from samphiredeal.platform.table import Committed, Condition, Conflict, Put
 from samphiredeal.wire import orders as coding
 from samphiredeal.wire.messages import WorkOrders, WorkReport
 
@@ -28,6 +29,8 @@
 # The rows of a failed agent are deleted after this time without a report. If it comes
 # back later, it announces itself again.
 _REMOVE_AFTER_S = 300.0
+# With a condition each, below the limit of a transaction's operations.
+_MAX_PLACES_PER_WRITE = 45
 
 
 class Session:
@@ -38,6 +41,10 @@
         self.address = address
         # Where the agent is by its row, if it is not at `address`.
         self.announced_address = address
+        # Whether the store has `address`, for the next scheduler, and in which version
+        # of the row.
+        self.is_place_stored = False
+        self.place_version = 0
         self.link = None
         self.connecting = False
         self.retry_at = now
@@ -67,6 +74,7 @@
         self._dispatcher = dispatcher
         self._sessions = {}
         self._closed = False
+        self._storing_places = False
         self._term_started_at = self._clock.seconds()
 
     @property
@@ -80,11 +88,15 @@
         for name, stored in workers.items():
             session = self._sessions.get(name)
             if session is None:
-                session = self._sessions[name] = Session(
-                    name, stored.value.address, now
-                )
+                place = self._host.view.places.get(name, stored)
+                session = Session(name, place.value.address, now)
+                if place is not stored:
+                    session.is_place_stored = True
+                    session.place_version = place.version
+                self._sessions[name] = session
                 self._connect(session)
             session.announced_address = stored.value.address
+        self._store_places()
 
     def close(self):
         self._closed = True
@@ -107,6 +119,7 @@
                 self._move_if_empty(session, now)
             if session.failed and no_report_s > _REMOVE_AFTER_S:
                 self._remove_worker(session)
+        self._store_places()
 
     def last_completions(self):
         """Return {name: (incarnation, number)} of the last completions reported."""
@@ -139,7 +152,9 @@
 
     def _send(self, session, now):
         number = session.order_number + 1
-        starts, stops = self._dispatcher.scheduler.orders_for(session.name, now)
+        starts, stops = (), ()
+        if session.is_place_stored:
+            starts, stops = self._dispatcher.scheduler.orders_for(session.name, now)
         is_due = now - session.orders_sent_at >= _ORDERS_INTERVAL_S
         completions = session.completions_recorded
         if not (starts or stops or is_due or completions != session.completions_sent):
@@ -165,6 +180,54 @@
             )
         )
 
+    # Places
+
+    def _store_places(self):
+        """Store the addresses to which starts are sent, unless the store has them.
+
+        A new scheduler looks for what an agent runs at the address that the last one
+        used, whatever has been announced under the name since. The conditions keep a
+        write that the store applies late from replacing a newer address.
+        """
+        if self._storing_places or self._host.is_store_silent():
+            return
+        unstored = [s for s in self._sessions.values() if not s.is_place_stored]
+        if unstored:
+            self._storing_places = True
+            written = self._write_places(unstored[:_MAX_PLACES_PER_WRITE])
+            ensureDeferred(written).addErrback(self._write_places_failed)
+
+    async def _write_places(self, sessions):
+        puts = [
+            Put(
+                work.place_key(session.name),
+                msgspec.json.encode(work.PlaceRecord(session.address)),
+            )
+            for session in sessions
+        ]
+        conditions = [
+            Condition(put.key, session.place_version)
+            for put, session in zip(puts, sessions, strict=True)
+        ]
+        answer = await self._host.table.write(
+            [self._leadership.condition, *conditions], puts
+        )
+        self._storing_places = False
+        if self._closed:
+            return
+        for put, session in zip(puts, sessions, strict=True):
+            if isinstance(answer, Committed):
+                session.is_place_stored = True
+                session.place_version = answer.versions[put.key]
+            elif isinstance(answer, Conflict) and answer.row.key == put.key:
+                session.place_version = answer.row.version
+        self._dispatcher.schedule_round()
+
+    def _write_places_failed(self, failure):
+        """Let the next tick store the places again."""
+        self._storing_places = False
+        log_message(message_type="places_failed", reason=failure.getTraceback())
+
     # Links
 
     def _connect(self, session):
@@ -263,6 +326,7 @@
         self._close_link(session)
         moved = Session(session.name, session.announced_address, now)
         moved.order_number = session.order_number
+        moved.place_version = session.place_version
         self._sessions[session.name] = moved
         self._connect(moved)
 
@@ -324,8 +388,11 @@
         self._close_link(session)
         del self._sessions[session.name]
         self._dispatcher.scheduler.remove_worker(session.name)
-        keys = [work.worker_key(session.name), work.evicted_key(session.name)]
-        self._host.table.write([self._leadership.condition], [], keys)
+        key_functions = (work.worker_key, work.evicted_key, work.place_key)
+        keys = [key_of(session.name) for key_of in key_functions]
+        # The agent may come back while the deletion is on its way.
+        place = Condition(work.place_key(session.name), session.place_version)
+        self._host.table.write([self._leadership.condition, place], [], keys)
 
     def _fail_if_lease_lapsed(self, session, now):
         """Treat a worker's runs as failed once its lease has certainly expired."""
--- a/packages/entry/src/samphiredeal/entry/graphs/work.py
+++ b/packages/entry/src/samphiredeal/entry/graphs/work.py
@@ -5,8 +5,8 @@
 accepts its cancel; ``progress/ID`` is written by the scheduler, and ``units/ID/ROW`` if
 the progress of a job does not fit into one row. ``epoch`` names the
 scheduler, ``beat`` is its heartbeat, ``worker/NAME`` announces an agent and
-``evicted/NAME`` makes it stop extending its leases; ``entry/NAME`` announces an entry
-to the others.
+``evicted/NAME`` makes it stop extending its leases; ``place/NAME`` is the address to
+which the scheduler sends its starts; ``entry/NAME`` announces an entry to the others.
 """
 
 from typing import NamedTuple
@@ -28,6 +28,7 @@
 _CANCEL = "cancel/"
 _WORKER = "worker/"
 _EVICTED = "evicted/"
+_PLACE = "place/"
 _ENTRY = "entry/"
 
 
@@ -61,6 +62,11 @@
     return _EVICTED + name
 
 
+def place_key(name):
+    """Return the key of the address to which starts for an agent are sent."""
+    return _PLACE + name
+
+
 def entry_key(name):
     """Return the key under which an entry announces itself."""
     return _ENTRY + name
@@ -94,6 +100,12 @@
     zone: str
 
 
+class PlaceRecord(NamedTuple):
+    """The address of an agent to which starts may have been sent."""
+
+    address: str
+
+
 class EntryRecord(NamedTuple):
     """The address of an entry for other entries."""
 
@@ -112,6 +124,7 @@
     _PROGRESS: records.Progress,
     _UNITS: records.UnitRows,
     _WORKER: WorkerRecord,
+    _PLACE: PlaceRecord,
     _ENTRY: EntryRecord,
 }
 
@@ -129,6 +142,7 @@
         self.cancels = {}
         self.workers = {}
         self.evicted = {}
+        self.places = {}
         self.entries = {}
         self.epoch = Versioned(EpochRecord(0, "", ""), 0)
         self.beat = Versioned(HeartbeatRecord(0, 0), 0)
@@ -142,6 +156,7 @@
             _CANCEL: self.cancels,
             _WORKER: self.workers,
             _EVICTED: self.evicted,
+            _PLACE: self.places,
             _ENTRY: self.entries,
         }
 
@@ -185,7 +200,7 @@
             return
         record_type = _RECORD_TYPES.get(prefix + "/")
         value = records.decode(row.value, record_type) if record_type else None
-        if record_type in (WorkerRecord, EntryRecord):
+        if record_type in (WorkerRecord, PlaceRecord, EntryRecord):
             untrusted.parse_address(value.address)
         entries[name] = Versioned(value, row.version)
         if name in self._completion_waiters and self.state_of(name) in FINAL_STATES:
--- a/tests/test_returned_names.py
+++ b/tests/test_returned_names.py
@@ -10,6 +10,7 @@
 from graph_world import HEARTBEAT_S, LEASE_S, check_invariants, make_graph_world
 
 from samphiredeal.model.timing import lease_wait_s
+from samphiredeal.platform.table import Condition, Conflict, Put
 
 LONG = {**STEP, "count": 1, "estimated-ms": 40_000}
 ENTRIES = ("e0", "e1", "e2")
@@ -51,6 +52,21 @@
     check_invariants(world)
 
 
+# The same, with a scheduler that knows only the rows.
+@pytest.mark.parametrize("delay_s", [0.0, 1.0])
+def test_new_scheduler_lets_the_run_of_a_cut_off_vm_lapse(delay_s):
+    world = make_graph_world(workers=2)
+    name = start_long_task(world)
+    cut_off(world, name)
+    world.kill(world.scheduler())
+    world.run(delay_s)
+    world.replace_vm(name)
+    world.run(RESTART_S + 3.0)
+    assert len(starts(world)) == 2
+    world.run(30.0)
+    check_invariants(world)
+
+
 def test_work_starts_on_the_vm_that_replaced_one_without_power():
     world = make_graph_world(workers=1)
     name = start_long_task(world)
@@ -85,3 +101,28 @@
     world.run(40.0)
     assert len(starts(world)) == 1
     assert world.state(world.scheduler(), "a1") == "completed"
+
+
+def test_address_is_stored_before_the_first_start_there():
+    """A scheduler that takes over at once has to know it."""
+    world = make_graph_world(workers=0)
+    world.submit("e0", "a1", [LONG])
+    world.add_worker("w0")
+    world.run_until(lambda: starts(world), 5.0)
+    row = world.table.rows["place/w0"]
+    assert world.address_of("w0").encode() in row.value
+
+
+# Guards against TWICE: an address that the store took late replaced the newer one.
+def test_late_write_of_an_address_does_not_replace_a_newer_one():
+    world = make_graph_world(workers=1)
+    key = "place/w0"
+    before = world.table.rows[key]
+    name = start_long_task(world)
+    cut_off(world, name)
+    other = world.replace_vm(name)
+    world.run(RESTART_S)
+    late = world.table.write([Condition(key, before.version)], [Put(key, before.value)])
+    world.run(0.1)
+    assert isinstance(late.result, Conflict)
+    assert world.address_of(other).encode() in world.table.rows[key].value
