Take no report without an ended incarnation for the end of one

A run that a report without a worker lists, and that the scheduler finds before it has heard of any incarnation, has a placement without one. The next report without a worker named no ended incarnation either, both texts were empty and equal, and the placement was dropped while the run went on.

test_found_run_of_an_unknown_incarnation_is_not_dropped failed before: no placement was left. Two more tests, which passed before, hold what the same code does right: a run that is listed again by an incarnation that alternates with another one keeps its placement, and the end of an older incarnation takes nothing from the next. packages/policy/tests/test_worker_replaced.py: 11 passed.

--- a/packages/policy/src/samphiredeal/policy/graphs/reports.py
+++ b/packages/policy/src/samphiredeal/policy/graphs/reports.py
@@ -74,6 +74,9 @@
 
     Pending starts may have been carried out by the next one.
     """
+    if not report.ended_life:
+        # A placement that a report added may not have an incarnation's name yet.
+        return
     pending = set(report.pending)
     for placement in list(worker.placements.values()):
         is_pending = (placement.task, placement.run) in pending
--- a/packages/policy/tests/test_worker_replaced.py
+++ b/packages/policy/tests/test_worker_replaced.py
@@ -10,6 +10,7 @@
 
 from samphiredeal.model import runs
 from samphiredeal.model.runs import Ended, Refused, RunId, Running
+from samphiredeal.policy.graphs.scheduler import GraphScheduler
 
 RUN = RunId("a.0.0.0", 1)
 
@@ -106,3 +107,38 @@
     placement.status, placement.sent_at = "ordered", None
     next_incarnation(bench)
     assert report(bench) == ([], [RUN])
+
+
+# Guards against TWICE: a report without an incarnation that has ended was taken for the
+# end of one without a name, and a run that had been found was dropped.
+def test_found_run_of_an_unknown_incarnation_is_not_dropped():
+    bench = Bench(make_workers(1))
+    bench.scheduler = GraphScheduler()
+    bench.scheduler.add_worker("w0", "a")
+    bench.add(make_record("a", [make_step(1, 8, estimate_ms=60_000)]))
+    bench.scheduler.plan(bench.now, 0)
+    report(bench, facts=None, running=(Running(*RUN, "", 5),))
+    report(bench, facts=None)
+    assert placed(bench) == (1, 1)
+    report(bench, running=(Running(*RUN, "", 5),))
+    assert placed(bench) == (1, 1)
+
+
+# Guards against TWICE: the worker of a run alternates between two incarnations.
+def test_run_that_is_listed_again_after_another_incarnation_is_held():
+    bench = make_bench().step(0.1)
+    first = bench.facts["w0"]
+    second = next_incarnation(bench)
+    for facts, running in [(second, ()), (first, (Running(*RUN, "", 9),))] * 2:
+        starts, _stops = report(bench, facts=facts, running=running)
+        assert starts == []
+        assert placed(bench) == (1, 1)
+
+
+def test_older_incarnation_that_has_ended_takes_no_run_of_the_next_one():
+    bench = make_bench().step(0.1)
+    first = bench.facts["w0"].life
+    next_incarnation(bench)
+    report(bench, running=(Running(*RUN, "", 5),))
+    report(bench, facts=None, ended_life=first)
+    assert placed(bench) == (1, 1)
