Count reports without a worker only if none is missing between them

The scheduler gives up a worker's runs once its agent has known no worker for a lease. Reports counted as successive if they came within 1.6 s of each other, also across a lost link and a restart of the agent. An agent that had known the worker meanwhile and extended its lease, without a report that got through, was overlooked, and the task began elsewhere beside the run.

The time starts anew with each link, and with each report whose number does not follow the last one.

test_work_is_not_doubled_if_a_report_that_knows_the_worker_is_lost failed before in 3 of 3 cases, with the task at work twice. It passes, as does the rest of tests/test_restarted_agents.py (9 passed).

--- a/packages/entry/src/samphiredeal/entry/graphs/sessions.py
+++ b/packages/entry/src/samphiredeal/entry/graphs/sessions.py
@@ -50,7 +50,8 @@
         self.retry_at = now
         self.last_report_at = None
         self.no_report_since = now
-        # Since when all reports, without a gap, say that the agent knows no worker.
+        # Since when all reports of one link, without a gap, say that the agent knows no
+        # worker.
         self.no_worker_since = None
         self.report = None
         self.report_number = 0
@@ -243,7 +244,7 @@
                 link.close()
                 return
             session.link = link
-            session.last_report_at = None
+            session.last_report_at = session.no_worker_since = None
             link.on_message = lambda _link, message: self._message_received(
                 session, link, message
             )
@@ -293,7 +294,7 @@
             )
         if session.name in self._host.view.evicted:
             self._revoke_eviction(session)
-        self._check_worker_known(session, report, now)
+        self._check_worker_known(session, report, message.number, now)
         session.evicting, session.evicted_at, session.failed = False, None, False
         session.last_report_at = session.no_report_since = now
         session.report = report
@@ -409,17 +410,19 @@
                 session.name, "no response until its lease had expired"
             )
 
-    def _check_worker_known(self, session, report, now):
+    def _check_worker_known(self, session, report, number, now):
         """Treat a worker's runs as failed if its agent has not known it for a lease.
 
         A worker that exits while its agent restarts is never reported as ended: the
         new agent has not heard from it, and so does not extend its lease either. Only
-        reports in close succession show that; between others it may have done both.
+        successive reports of one process in close succession show that; between others
+        the agent, or one before it, may have done both.
         """
         if report.worker is not None:
             session.no_worker_since = None
             return
         is_gap = now - session.no_report_since > UNRESPONSIVE_AFTER_S
+        is_gap = is_gap or number != session.report_number + 1
         if session.no_worker_since is None or is_gap:
             session.no_worker_since = now
         elif now - session.no_worker_since > self._host.lease_wait_s:
--- a/tests/test_restarted_agents.py
+++ b/tests/test_restarted_agents.py
@@ -119,3 +119,34 @@
     world.run(2 * lease_wait_s(LEASE_S))
     assert world.event_log.overlaps() == []
     assert len(world.event_log.starts("a1.0.0.0")) == 2
+
+
+# Guards against TWICE: reports without a worker counted as one close succession, although
+# one with the worker, whose lease was extended, was lost between them.
+@pytest.mark.parametrize("hidden_s", [0.1, 0.2, 0.4])
+def test_work_is_not_doubled_if_a_report_that_knows_the_worker_is_lost(hidden_s):
+    world = make_graph_world(workers=2)
+    step = {"count": 1, "gpu": 8, "estimated-ms": LONG_MS}
+    world.submit("e0", "a1", [step])
+    world.run_until(lambda: world.event_log.starts("a1.0.0.0"), 5.0)
+    world.run(2.0)
+    (start,) = world.event_log.starts("a1.0.0.0")
+    name, worker = start.worker, world.workers[start.worker]
+    world.kill(name)
+    worker.faults.down = True
+    world.add_agent(name)
+    world.run(4.6)
+    for entry in ("e0", "e1", "e2"):
+        world.network.cut(name, entry, both=False)
+    worker.faults.down = False
+    node = world.nodes[name]
+    node.clock.run(node.process.run_manager.record_heartbeat, worker.facts, 99)
+    world.run(hidden_s)
+    assert node.process.run_manager.report().worker == worker.facts
+    world.network.heal()
+    world.kill(name)
+    worker.faults.down = True
+    world.add_agent(name)
+    world.run(2 * lease_wait_s(LEASE_S))
+    assert world.event_log.overlaps() == []
+    assert len(world.event_log.starts("a1.0.0.0")) == 2
