--- a/tests/test_restarted_agents.py
+++ b/tests/test_restarted_agents.py
@@ -121,7 +121,7 @@
     assert len(world.event_log.starts("a1.0.0.0")) == 2
 
 
-# Guards against TWICE: reports without a worker counted as one close succession, although
+# Guards against TWICE: reports without a worker counted as successive, although
 # one with the worker, whose lease was extended, was lost between them.
 @pytest.mark.parametrize("hidden_s", [0.1, 0.2, 0.4])
 def test_work_is_not_doubled_if_a_report_that_knows_the_worker_is_lost(hidden_s):
