Start nothing of a task while an agent lists another run of it

A run that an agent lists and that has no placement there was told to stop, and the next run of its task began in the same round, or as placed, while the stop was under way. That takes a scheduler that has concluded too much, or rows that lack the run; then it puts the task at work twice, for as long as the stop takes.

No unit is placed, and no start of it sent, until no agent lists such a run of it any more. A report without a worker says nothing of it; an expired lease ends it.

--- a/packages/policy/src/samphiredeal/policy/graphs/reports.py
+++ b/packages/policy/src/samphiredeal/policy/graphs/reports.py
@@ -39,13 +39,22 @@
         _apply_completion(scheduler, worker, ended, now, log_entries)
     for refused in report.refused:
         _apply_refusal(scheduler, worker, refused, now, log_entries)
-    worker.foreign_runs = frozenset(
+    _update_foreign_runs(worker, report)
+    _resend_orders(worker, report, listed, now)
+    return log_entries
+
+
+def _update_foreign_runs(worker, report):
+    """Record the listed runs without a placement here.
+
+    A report that knows no worker says nothing of the runs that it does not list.
+    """
+    found = frozenset(
         RunId(running.task, running.run)
         for running in report.running
         if (running.task, running.run) not in worker.placements
     )
-    _resend_orders(worker, report, listed, now)
-    return log_entries
+    worker.foreign_runs = found if report.worker else worker.foreign_runs | found
 
 
 def _update_facts(worker, report, now, log_entries):
@@ -181,7 +190,7 @@
 
 def _adopt(scheduler, worker, task, run, now):
     """Add a placement, to be stopped, for a known task's run that has none here."""
-    unit, index = _find_unit(scheduler, task)
+    unit, index = find_unit(scheduler, task)
     if unit is None:
         return None
     here = unit.placements.get(index)
@@ -199,7 +208,7 @@
 
 
 def _apply_completion(scheduler, worker, ended, now, log_entries):
-    unit, index = _find_unit(scheduler, ended.task)
+    unit, index = find_unit(scheduler, ended.task)
     if unit is None:
         return
     placement = unit.placements.get(index)
@@ -308,7 +317,7 @@
             placement.sent_at = None
 
 
-def _find_unit(scheduler, task):
+def find_unit(scheduler, task):
     """Return (unit, index) of the named task, or (None, 0)."""
     name = parse_task_name(task)
     job = scheduler.jobs.get(name.job) if name else None
--- a/packages/policy/src/samphiredeal/policy/graphs/scheduler.py
+++ b/packages/policy/src/samphiredeal/policy/graphs/scheduler.py
@@ -71,6 +71,8 @@
         self.tickets = Tickets()
         self._headroom = Headroom()
         self._advice_request = None
+        # Units of which agents list runs without a placement; None: to be collected.
+        self._found_units = None
         # Speeds of the runs of a step, collected once for each plan.
         self._step_speeds = {}
 
@@ -80,6 +82,7 @@
         """Add an accepted job; `progress` is its stored progress or None."""
         if record.id in self.jobs:
             return
+        self._found_units = None
         if progress is None:
             self.jobs[record.id] = JobState(record)
             return
@@ -124,10 +127,12 @@
         worker = self.workers.get(name)
         if worker is not None and not worker.placements:
             del self.workers[name]
+            self._found_units = None
 
     def apply_report(self, worker_name, report, now):
         """Apply an agent's report."""
         worker = self.workers.get(worker_name)
+        self._found_units = None
         if worker is not None:
             for event, fields in reporting.apply_report(self, worker, report, now):
                 self._log_entries.append(Note(event, fields))
@@ -149,6 +154,8 @@
         if worker is not None:
             entries = []
             reporting.remove_all_placements(worker, reason, entries)
+            worker.foreign_runs = frozenset()
+            self._found_units = None
             worker.life = ""
             worker.reachable = False
             self._log_entries += [Note(event, fields) for event, fields in entries]
@@ -235,7 +242,8 @@
                         placement.stop_ordered_at = now
                     stops.append((placement.task, placement.run))
             elif placement.status == ORDERED and placement.sent_at is None:
-                due.append(placement)
+                if placement.unit not in self._units_found_elsewhere():
+                    due.append(placement)
             elif placement.status == ORDERED:
                 in_flight += 1
         stops += [(run.task, run.run) for run in worker.foreign_runs]
@@ -261,6 +269,21 @@
             worker = self.workers[name] = WorkerState(name, zone)
         return worker
 
+    def _units_found_elsewhere(self):
+        """Return the units of which an agent lists a run that has no placement there.
+
+        Nothing of them may start before that run is gone. The rows should name it: the
+        scheduler has concluded too much, or read too little.
+        """
+        if self._found_units is None:
+            found = (
+                reporting.find_unit(self, run.task)[0]
+                for worker in self.workers.values()
+                for run in worker.foreign_runs
+            )
+            self._found_units = {unit for unit in found if unit is not None}
+        return self._found_units
+
     def _stop_unwanted_runs(self, now):
         self._step_speeds = {}
         for worker in self.workers.values():
@@ -359,6 +382,8 @@
             for unit in job.units.values():
                 if unit.done or unit.placements:
                     continue
+                if unit in self._units_found_elsewhere():
+                    continue
                 if unit.occurrence not in done:
                     done[unit.occurrence] = job.steps_done(unit.occurrence)
                 if set(unit.spec.after) <= done[unit.occurrence]:
--- a/tests/graph_bench.py
+++ b/tests/graph_bench.py
@@ -17,6 +17,8 @@
         self.completions = {name: [] for name in workers}
         self.percent = {}
         self.poll_count = 0
+        # Workers that have not carried out their stops yet.
+        self.stopping_slowly = set()
 
     def add(self, *records):
         for record in records:
@@ -37,7 +39,7 @@
             starts, stops = self.scheduler.orders_for(name, self.now)
             for order in starts:
                 self.running[name][(order.task, order.run)] = self.now
-            for task, run in stops:
+            for task, run in () if name in self.stopping_slowly else stops:
                 if self.running[name].pop((task, run), None) is not None:
                     self.end(name, task, run, runs.STOPPED)
         return self
