Let the numbers of orders rise for an agent that comes back

The numbers began anew with the session of an agent that had been forgotten, within the same term, so that they did not tell a later message from an earlier one, for which they are there.

test_numbers_of_orders_rise_beyond_the_removal_of_an_agent failed before: 7 numbers occurred twice.

--- a/packages/entry/src/samphiredeal/entry/graphs/sessions.py
+++ b/packages/entry/src/samphiredeal/entry/graphs/sessions.py
@@ -55,7 +55,6 @@
         self.no_worker_since = None
         self.report = None
         self.report_number = 0
-        self.order_number = 0
         self.orders_sent_at = float("-inf")
         self.incarnation = ""
         self.completions_recorded = 0
@@ -76,6 +75,7 @@
         self._sessions = {}
         self._closed = False
         self._storing_places = False
+        self._order_number = 0
         self._term_started_at = self._clock.seconds()
 
     @property
@@ -152,7 +152,6 @@
                 self._send(session, now)
 
     def _send(self, session, now):
-        number = session.order_number + 1
         starts, stops = (), ()
         if session.is_place_stored:
             starts, stops = self._dispatcher.scheduler.orders_for(session.name, now)
@@ -160,13 +159,14 @@
         completions = session.completions_recorded
         if not (starts or stops or is_due or completions != session.completions_sent):
             return
-        session.order_number = number
+        # Rising for every agent, also in its next session.
+        self._order_number += 1
         session.orders_sent_at = now
         session.completions_sent = completions
         report = session.report
         orders = Orders(
             self._leadership.epoch,
-            number,
+            self._order_number,
             session.incarnation,
             completions,
             tuple(starts),
@@ -326,7 +326,6 @@
         )
         self._close_link(session)
         moved = Session(session.name, session.announced_address, now)
-        moved.order_number = session.order_number
         moved.place_version = session.place_version
         self._sessions[session.name] = moved
         self._connect(moved)
