--- a/packages/entry/src/samphiredeal/entry/graphs/sessions.py
+++ b/packages/entry/src/samphiredeal/entry/graphs/sessions.py
@@ -5,13 +5,14 @@
 so that neither a stalled link nor a frozen process prolongs it.
 """
 
+import msgspec
 from eliot import log_message
 from twisted.internet.defer import ensureDeferred
 
 from samphiredeal.entry.graphs import work
 from samphiredeal.entry.graphs.leadership import SCHEDULER_AUTHORITY_S
 from samphiredeal.model.runs import Orders, RunId
-from samphiredeal.platform.table import Committed, Condition, Put
+from samphiredeal.platform.table import Committed, Condition, Conflict, Put
 from samphiredeal.wire import orders as coding
 from samphiredeal.wire.messages import WorkOrders, WorkReport
 
@@ -28,6 +29,8 @@
 # The rows of a failed agent are deleted after this time without a report. If it comes
 # back later, it announces itself again.
 _REMOVE_AFTER_S = 300.0
+# With a condition each, below the limit of a transaction's operations.
+_MAX_PLACES_PER_WRITE = 45
 
 
 class Session:
@@ -36,16 +39,22 @@
     def __init__(self, name, address, now):
         self.name = name
         self.address = address
+        # Where the agent is by its row, if it is not at `address`.
+        self.announced_address = address
+        # Whether the store has `address`, for the next scheduler, and in which version
+        # of the row.
+        self.is_place_stored = False
+        self.place_version = 0
         self.link = None
         self.connecting = False
         self.retry_at = now
         self.last_report_at = None
         self.no_report_since = now
-        # Since when all reports, without a gap, say that the agent knows no worker.
+        # Since when all reports of one link, without a gap, say that the agent knows no
+        # worker.
         self.no_worker_since = None
         self.report = None
         self.report_number = 0
-        self.order_number = 0
         self.orders_sent_at = float("-inf")
         self.incarnation = ""
         self.completions_recorded = 0
@@ -65,6 +74,8 @@
         self._dispatcher = dispatcher
         self._sessions = {}
         self._closed = False
+        self._storing_places = False
+        self._order_number = 0
         self._term_started_at = self._clock.seconds()
 
     @property
@@ -78,11 +89,15 @@
         for name, stored in workers.items():
             session = self._sessions.get(name)
             if session is None:
-                self._sessions[name] = Session(name, stored.value.address, now)
-                self._connect(self._sessions[name])
-            elif session.address != stored.value.address:
-                session.address = stored.value.address
-                self._close_link(session)
+                place = self._host.view.places.get(name, stored)
+                session = Session(name, place.value.address, now)
+                if place is not stored:
+                    session.is_place_stored = True
+                    session.place_version = place.version
+                self._sessions[name] = session
+                self._connect(session)
+            session.announced_address = stored.value.address
+        self._store_places()
 
     def close(self):
         self._closed = True
@@ -101,8 +116,11 @@
             if no_report_s > EVICT_AFTER_S:
                 self._evict(session, now)
             self._fail_if_lease_lapsed(session, now)
+            if session.announced_address != session.address:
+                self._move_if_empty(session, now)
             if session.failed and no_report_s > _REMOVE_AFTER_S:
                 self._remove_worker(session)
+        self._store_places()
 
     def last_completions(self):
         """Return {name: (incarnation, number)} of the last completions reported."""
@@ -134,19 +152,21 @@
                 self._send(session, now)
 
     def _send(self, session, now):
-        number = session.order_number + 1
-        starts, stops = self._dispatcher.scheduler.orders_for(session.name, now)
+        starts, stops = (), ()
+        if session.is_place_stored:
+            starts, stops = self._dispatcher.scheduler.orders_for(session.name, now)
         is_due = now - session.orders_sent_at >= _ORDERS_INTERVAL_S
         completions = session.completions_recorded
         if not (starts or stops or is_due or completions != session.completions_sent):
             return
-        session.order_number = number
+        # Rising for every agent, also in its next session.
+        self._order_number += 1
         session.orders_sent_at = now
         session.completions_sent = completions
         report = session.report
         orders = Orders(
             self._leadership.epoch,
-            number,
+            self._order_number,
             session.incarnation,
             completions,
             tuple(starts),
@@ -161,6 +181,54 @@
             )
         )
 
+    # Places
+
+    def _store_places(self):
+        """Store the addresses to which starts are sent, unless the store has them.
+
+        A new scheduler looks for what an agent runs at the address that the last one
+        used, whatever has been announced under the name since. The conditions keep a
+        write that the store applies late from replacing a newer address.
+        """
+        if self._storing_places or self._host.is_store_silent():
+            return
+        unstored = [s for s in self._sessions.values() if not s.is_place_stored]
+        if unstored:
+            self._storing_places = True
+            written = self._write_places(unstored[:_MAX_PLACES_PER_WRITE])
+            ensureDeferred(written).addErrback(self._write_places_failed)
+
+    async def _write_places(self, sessions):
+        puts = [
+            Put(
+                work.place_key(session.name),
+                msgspec.json.encode(work.PlaceRecord(session.address)),
+            )
+            for session in sessions
+        ]
+        conditions = [
+            Condition(put.key, session.place_version)
+            for put, session in zip(puts, sessions, strict=True)
+        ]
+        answer = await self._host.table.write(
+            [self._leadership.condition, *conditions], puts
+        )
+        self._storing_places = False
+        if self._closed:
+            return
+        for put, session in zip(puts, sessions, strict=True):
+            if isinstance(answer, Committed):
+                session.is_place_stored = True
+                session.place_version = answer.versions[put.key]
+            elif isinstance(answer, Conflict) and answer.row.key == put.key:
+                session.place_version = answer.row.version
+        self._dispatcher.schedule_round()
+
+    def _write_places_failed(self, failure):
+        """Let the next tick store the places again."""
+        self._storing_places = False
+        log_message(message_type="places_failed", reason=failure.getTraceback())
+
     # Links
 
     def _connect(self, session):
@@ -171,11 +239,12 @@
 
         def connected(link):
             session.connecting = False
-            if self._closed or session.link is not None:
+            is_current = self._sessions.get(session.name) is session
+            if self._closed or not is_current or session.link is not None:
                 link.close()
                 return
             session.link = link
-            session.last_report_at = None
+            session.last_report_at = session.no_worker_since = None
             link.on_message = lambda _link, message: self._message_received(
                 session, link, message
             )
@@ -225,7 +294,7 @@
             )
         if session.name in self._host.view.evicted:
             self._revoke_eviction(session)
-        self._check_worker_known(session, report, now)
+        self._check_worker_known(session, report, message.number, now)
         session.evicting, session.evicted_at, session.failed = False, None, False
         session.last_report_at = session.no_report_since = now
         session.report = report
@@ -238,6 +307,29 @@
 
     # Failures
 
+    def _move_if_empty(self, session, now):
+        """Go to the address that the agent has announced, once nothing runs at this.
+
+        The agent at this address may live on, cut off from the entries, and extend its
+        worker's lease. So a name keeps its address while its agent reports, and after
+        that until its leases have expired, unless it has no runs.
+        """
+        is_silent = now - session.no_report_since > UNRESPONSIVE_AFTER_S
+        has_runs = self._dispatcher.scheduler.has_placements_on(session.name)
+        if not session.failed and (has_runs or not is_silent):
+            return
+        log_message(
+            message_type="worker_moved",
+            worker=session.name,
+            before=session.address,
+            address=session.announced_address,
+        )
+        self._close_link(session)
+        moved = Session(session.name, session.announced_address, now)
+        moved.place_version = session.place_version
+        self._sessions[session.name] = moved
+        self._connect(moved)
+
     def _evict(self, session, now):
         """Evict an unresponsive agent through the store, so its leases expire."""
         if session.evicting:
@@ -296,8 +388,11 @@
         self._close_link(session)
         del self._sessions[session.name]
         self._dispatcher.scheduler.remove_worker(session.name)
-        keys = [work.worker_key(session.name), work.evicted_key(session.name)]
-        self._host.table.write([self._leadership.condition], [], keys)
+        key_functions = (work.worker_key, work.evicted_key, work.place_key)
+        keys = [key_of(session.name) for key_of in key_functions]
+        # The agent may come back while the deletion is on its way.
+        place = Condition(work.place_key(session.name), session.place_version)
+        self._host.table.write([self._leadership.condition, place], [], keys)
 
     def _fail_if_lease_lapsed(self, session, now):
         """Treat a worker's runs as failed once its lease has certainly expired."""
@@ -314,17 +409,19 @@
                 session.name, "no response until its lease had expired"
             )
 
-    def _check_worker_known(self, session, report, now):
+    def _check_worker_known(self, session, report, number, now):
         """Treat a worker's runs as failed if its agent has not known it for a lease.
 
         A worker that exits while its agent restarts is never reported as ended: the
         new agent has not heard from it, and so does not extend its lease either. Only
-        reports in close succession show that; between others it may have done both.
+        successive reports of one process in close succession show that; between others
+        the agent, or one before it, may have done both.
         """
         if report.worker is not None:
             session.no_worker_since = None
             return
         is_gap = now - session.no_report_since > UNRESPONSIVE_AFTER_S
+        is_gap = is_gap or number != session.report_number + 1
         if session.no_worker_since is None or is_gap:
             session.no_worker_since = now
         elif now - session.no_worker_since > self._host.lease_wait_s:
