Report a worker as present before its lease is extended

The scheduler concludes from reports without a worker for a lease that nothing runs there any more. An extension between two of them, with the change batched into the second, was not visible to it.

--- a/packages/agent/src/samphiredeal/agent/graphs/run_manager.py
+++ b/packages/agent/src/samphiredeal/agent/graphs/run_manager.py
@@ -532,7 +532,8 @@
         facts = self._facts
         if facts is None:
             await self._probe_claims()
-            return _RETRY_S if self._facts is None else 0
+            # The report that names the worker goes out before its lease is extended.
+            return _RETRY_S if self._facts is None else _POLL_PAUSE_S
         authorized = self._authority.authorized
         self._log_authority_change(authorized)
         wait_s = self._poll_wait_s() if authorized else _UNAUTHORIZED_WAIT_S
