Ask agents at the address that the scheduler uses

Entries that miss the scheduler ask agents whether they hear it, at their announced addresses. An agent that has announced itself under a name that is still in use elsewhere has no session with the scheduler, and its answer counted for a takeover.

test_scheduler_is_kept_beside_an_agent_that_it_does_not_use failed before: the scheduler was replaced. With tests/test_lost_scheduler.py and the tests of the monitor: 63 passed.

--- a/packages/entry/src/samphiredeal/entry/graphs/scheduler_monitor.py
+++ b/packages/entry/src/samphiredeal/entry/graphs/scheduler_monitor.py
@@ -262,6 +262,8 @@
                 reason=failure.getErrorMessage()[:200],
             )
 
-        address = self._view.workers[name].value.address
+        # The scheduler uses the address in its own row, whatever has been announced.
+        stored = self._view.places.get(name, self._view.workers[name])
+        address = stored.value.address
         opened = self._connect(address).addTimeout(_CONNECT_TIMEOUT_S, self._clock)
         return opened.addCallbacks(send_query, connect_failed)
--- a/tests/test_returned_names.py
+++ b/tests/test_returned_names.py
@@ -126,3 +126,18 @@
     world.run(0.1)
     assert isinstance(late.result, Conflict)
     assert world.address_of(other).encode() in world.table.rows[key].value
+
+
+# Guards against a needless takeover: the agent at the announced address, with which the
+# scheduler has no session, was asked whether it hears the scheduler.
+def test_scheduler_is_kept_beside_an_agent_that_it_does_not_use():
+    world = make_graph_world(workers=1)
+    scheduler = world.scheduler()
+    epoch = world.nodes[scheduler].process.leadership.epoch
+    world.replace_vm("w0")
+    world.run(1.0)
+    for entry in ENTRIES:
+        if entry != scheduler:
+            world.network.cut(scheduler, entry)
+    world.run(5.0)
+    assert world.nodes[scheduler].process.leadership.epoch == epoch
