Confirm an eviction only by the row that it wrote

The row of an eviction had the same value each time, and a write counts as applied once the change feed shows its rows.

Each eviction writes its epoch and a number. Agents look only for the row.

test_row_of_an_earlier_eviction_does_not_confirm_a_new_one failed before, with a task at work twice. It passes; with tests/test_returned_names.py and tests/test_restarted_agents.py, 22 passed.

--- a/packages/entry/src/samphiredeal/entry/graphs/sessions.py
+++ b/packages/entry/src/samphiredeal/entry/graphs/sessions.py
@@ -76,6 +76,7 @@
         self._closed = False
         self._storing_places = False
         self._order_number = 0
+        self._evictions = 0
         self._term_started_at = self._clock.seconds()
 
     @property
@@ -356,9 +357,13 @@
         )
 
     async def _store_eviction(self, session):
+        # Each value occurs once, so that only this write can have put the row.
+        self._evictions += 1
+        eviction = work.EvictionRecord(self._leadership.epoch, self._evictions)
+        value = msgspec.json.encode(eviction)
         answer = await self._host.table.write(
             [self._leadership.condition],
-            [Put(work.evicted_key(session.name), b"{}")],
+            [Put(work.evicted_key(session.name), value)],
         )
         if not session.evicting or self._closed:
             return
--- a/packages/entry/src/samphiredeal/entry/graphs/work.py
+++ b/packages/entry/src/samphiredeal/entry/graphs/work.py
@@ -106,6 +106,13 @@
     address: str
 
 
+class EvictionRecord(NamedTuple):
+    """Which eviction of a scheduler's term it is; readers look only for the row."""
+
+    epoch: int
+    number: int
+
+
 class EntryRecord(NamedTuple):
     """The address of an entry for other entries."""
 
