--- a/tests/test_returned_names.py
+++ b/tests/test_returned_names.py
@@ -141,3 +141,44 @@
             world.network.cut(scheduler, entry)
     world.run(5.0)
     assert world.nodes[scheduler].process.leadership.epoch == epoch
+
+
+class Disturbances:
+    """Drawn disturbances of a world whose VMs may share a name, one at a time."""
+
+    def __init__(self, world):
+        self._world = world
+        self._vms = {name: [name] for name in sorted(world.workers)}
+
+    def disturb(self):
+        """Cut a VM off, replace it, or restart its agent or the scheduler."""
+        world, draw = self._world, self._world.random.random()
+        name = world.random.choice(sorted(self._vms))
+        vm = world.random.choice(self._vms[name])
+        if draw < 0.3:
+            cut_off(world, vm)
+            world.clock.callLater(world.random.uniform(0.5, 40.0), world.network.heal)
+        elif draw < 0.5 and len(self._vms[name]) == 1:
+            self._vms[name].append(world.replace_vm(name))
+        elif draw < 0.65:
+            world.kill(vm)
+            world.clock.callLater(0.4, world.add_agent, vm, name)
+        elif draw < 0.8 and world.scheduler() not in (None, "e0"):
+            killed = world.scheduler()
+            world.kill(killed)
+            world.clock.callLater(1.0, world.add_entry, killed)
+
+
+@pytest.mark.parametrize("seed", range(8))
+def test_no_task_runs_twice_while_vms_share_names(seed):
+    world = make_graph_world(seed=seed)
+    disturbances = Disturbances(world)
+    step = {**LONG, "estimated-ms": 25_000, "gpu": 2, "cpu": 2000, "mem-mb": 2000}
+    jobs = [f"a{number:x}" for number in range(10)]
+    for job in jobs:
+        assert world.submit("e0", job, [step]).kind == "accepted"
+        world.run(world.random.uniform(0.0, 4.0))
+        disturbances.disturb()
+    world.run(120.0)
+    assert {world.state("e0", job) for job in jobs} == {"completed"}
+    check_invariants(world)
