Apply no orders that newer ones have overtaken, and no late starts

Orders are numbered, but the agent did not look at the numbers, and took starts from any link of the newest scheduler. A link that holds messages back delivered a second copy of a start that had been refused and forgotten since, or a start for a VM that had lost its name to another one meanwhile: the task was at work elsewhere by then.

The agent drops orders whose number is not above the last one's in their epoch, and starts that answer a report of 3 s ago or more, which can give no authority any more. The scheduler sends a start again that has no effect.

--- a/packages/agent/src/samphiredeal/agent/graphs/lease_authority.py
+++ b/packages/agent/src/samphiredeal/agent/graphs/lease_authority.py
@@ -56,6 +56,11 @@
         while len(self._sent_at) > _MAX_TRACKED_REPORTS:
             self._sent_at.popitem(last=False)
 
+    def is_recent(self, number):
+        """Return whether an answer to a report can still authorize anything."""
+        sent_at = self._sent_at.get(number, float("-inf"))
+        return self._clock.seconds() - sent_at < LEASE_AUTHORITY_S
+
     def record_report_answered(self, number):
         """Record that the scheduler has answered a report."""
         sent_at = self._sent_at.get(number)
--- a/packages/agent/src/samphiredeal/agent/graphs/node.py
+++ b/packages/agent/src/samphiredeal/agent/graphs/node.py
@@ -54,6 +54,8 @@
         )
         self._links = set()
         self._scheduler = None
+        # Epoch and number of the newest orders.
+        self._newest_orders = (0, 0)
         self._report_number = 0
         self._reported_at = float("-inf")
         self._report_timer = None
@@ -126,20 +128,55 @@
             log_message(
                 message_type="scheduler_heard", epoch=message.epoch, before=before
             )
+        orders = self._read_orders(message.body) if message.body else None
+        if orders is not None and self._is_overtaken(message, orders):
+            return
         if self._scheduler is not link:
             self._scheduler = link
             self._send_report(link)
         self._authority.record_report_answered(message.report_seen)
-        if message.body:
-            self._apply_orders(message.body)
+        if orders is not None:
+            self._run_manager.apply_orders(self._without_late_starts(message, orders))
 
-    def _apply_orders(self, body):
+    def _read_orders(self, body):
+        """Return the `Orders` in the body of a message, or None if it is malformed."""
         try:
-            orders = coding.decode_orders(body)
+            return coding.decode_orders(body)
         except ValueError as error:
             log_message(message_type="orders_unreadable", reason=str(error)[:300])
-            return
-        self._run_manager.apply_orders(orders)
+            return None
+
+    def _is_overtaken(self, message, orders):
+        """Return whether newer orders have been applied; if not, these are the newest.
+
+        A link may hold orders back until the scheduler has concluded from later reports
+        that their runs never began.
+        """
+        number = (message.epoch, orders.number)
+        if number > self._newest_orders:
+            self._newest_orders = number
+            return False
+        self._log_late_orders(message, orders)
+        return True
+
+    def _without_late_starts(self, message, orders):
+        """Return the orders, without starts if they answer a report of too long ago.
+
+        An agent that hears no newer orders may have lost its name to another one.
+        """
+        if not orders.starts or self._authority.is_recent(message.report_seen):
+            return orders
+        self._log_late_orders(message, orders)
+        return orders._replace(starts=())
+
+    def _log_late_orders(self, message, orders):
+        log_message(
+            message_type="orders_late",
+            epoch=message.epoch,
+            number=orders.number,
+            newest=self._newest_orders[1],
+            starts=len(orders.starts),
+        )
 
     def _report_soon(self):
         if self._report_timer is None or not self._report_timer.active():
