Stand-in worker: new lives, other ids, closed listeners, odd heartbeats

Cause: the stand-in for a worker could only be killed with its process, and its one life had one id and one start time. Conclusions of agents about which life of a worker they speak to were not played with real processes.

Change: POST /control lets the process begin a new life under the same or another id, born later or earlier than the last one, which knows nothing of it; go on under another id; close its listener; delay and double its heartbeats; send one of another writer; and leave out the start time in its lists of runs. GET /recorded lists the ends that the agent has confirmed.

--- a/packages/standins/src/samphiredeal/standins/graph_cluster.py
+++ b/packages/standins/src/samphiredeal/standins/graph_cluster.py
@@ -147,6 +147,15 @@
         """Return the starts and ends of runs on a worker, in order."""
         return _call(self.url_of(worker) + "/history", "GET").document
 
+    def recorded_ends(self, worker):
+        """Return the ends of runs on a worker that its agent has confirmed."""
+        return _call(self.url_of(worker) + "/recorded", "GET").document
+
+    def disturb_worker(self, worker, fault, **arguments):
+        """Inject a fault into a worker; see `graph_worker`."""
+        url = self.url_of(worker) + "/control"
+        return post(url, {"fault": fault, **arguments}).status == 200
+
     def scheduler(self):
         """Return the entry that logs the highest epoch as scheduler, or None."""
         newest = (0, None)
