--- a/packages/standins/src/samphiredeal/standins/graph_cluster.py
+++ b/packages/standins/src/samphiredeal/standins/graph_cluster.py
@@ -141,15 +141,15 @@
 
     def start_counts(self, worker):
         """Return the number of starts of each task on a worker."""
-        return _call(self.url_of(worker) + "/runs", "GET").document
+        return self._ask_worker(worker, "/runs")
 
     def history(self, worker):
         """Return the starts and ends of runs on a worker, in order."""
-        return _call(self.url_of(worker) + "/history", "GET").document
+        return self._ask_worker(worker, "/history")
 
     def recorded_ends(self, worker):
         """Return the ends of runs on a worker that its agent has confirmed."""
-        return _call(self.url_of(worker) + "/recorded", "GET").document
+        return self._ask_worker(worker, "/recorded")
 
     def disturb_worker(self, worker, fault, **arguments):
         """Inject a fault into a worker; see `graph_worker`."""
@@ -177,6 +177,15 @@
         """Return the port at which an agent reaches its worker."""
         return self._ports[name]
 
+    def _ask_worker(self, worker, path):
+        """Return what a worker tells of itself, once its listener is open."""
+
+        def answer():
+            reply = _call(self.url_of(worker) + path, "GET")
+            return reply if reply.status == 200 else None
+
+        return wait_for(answer, _CALL_TIMEOUT_S, f"{worker} answers").document
+
     def _find_unused_ports(self, find_free, count):
         """Return the first of `count` adjacent free ports not used by this cluster."""
         while True:
