Soak: odd workers, proxies of heartbeats and links, open connections

Cause: the soak had no proxy between workers and their agents' heartbeat port, nor between entries and agents; its workers never crashed, changed their id or refused connections; its callers opened a connection for each call; and a worker that was out of service for good was not noticed.

Change: heartbeats and links to agents pass proxies, which may be delayed, silent or reset; an agent announces its own address, so the stand-in platform replaces it by that of the proxy. Proxies can refuse new connections while open ones go on. Workers begin new lives under the same or another id, born earlier or later, change their id and double late heartbeats. These choices come from a generator of their own, so that others of a seed stay. Callers keep one connection to each entry open. New check: after all faults every worker gets a start within 10 s. Numbers of workers and entries and the program are arguments.

--- a/packages/standins/src/samphiredeal/standins/graph_cluster.py
+++ b/packages/standins/src/samphiredeal/standins/graph_cluster.py
@@ -67,17 +67,17 @@
 
     def start_graph_worker(self, name, zone, rack="r1", accelerators=8):
         """Start a worker and the agent beside it."""
-        control = f"{HOST}:{self.new_port()}"
+        control_port = self.new_port()
         self.start_standin(
             "graph-worker",
             name,
             zone=zone,
             rack=rack,
             accelerators=accelerators,
-            agent_address=control,
+            agent_address=f"{HOST}:{self._heartbeat_port(name, control_port)}",
         )
         extra = {
-            "listen-addresses": {"control": control},
+            "listen-addresses": {"control": f"{HOST}:{control_port}"},
             "app": f"{HOST}:{self._worker_port(name)}",
         }
         self._start_on_platform(f"agent-{name}", "agent", zone, extra)
@@ -177,6 +177,13 @@
         """Return the port at which an agent reaches its worker."""
         return self._ports[name]
 
+    def _heartbeat_port(self, _name, control_port):
+        """Return the port at which a worker reaches its agent."""
+        return control_port
+
+    def _announce(self, name, port):
+        """Called before a process starts that announces a port for links."""
+
     def _ask_worker(self, worker, path):
         """Return what a worker tells of itself, once its listener is open."""
 
@@ -207,6 +214,7 @@
             **extra,
         }
         self._roles_and_settings[name] = (role, document)
+        self._announce(name, base)
         self.start_again(name)
 
 
--- a/packages/standins/src/samphiredeal/standins/platform.py
+++ b/packages/standins/src/samphiredeal/standins/platform.py
@@ -2,6 +2,9 @@
 
 ``POST /faults`` with ``{"down": bool, "delay_s": s, "lose_answers": n}`` makes
 it unavailable or slow, or loses the answers to writes that have been applied.
+``POST /aliases`` with a map of addresses has the first replaced by the second in each
+row that is written from then on, so that a proxy can stand before a process that
+announces its own address.
 """
 
 import msgspec
@@ -35,16 +38,53 @@
         return b"{}"
 
 
+class AliasResource(Resource):
+    """Keeps the aliases of addresses, as JSON strings in bytes."""
+
+    isLeaf = True
+
+    def __init__(self):
+        super().__init__()
+        self._aliases = {}
+
+    def render_POST(self, request):
+        """Add aliases."""
+        for address, alias in msgspec.json.decode(request.content.read()).items():
+            self._aliases[msgspec.json.encode(address)] = msgspec.json.encode(alias)
+        return b"{}"
+
+    def replace(self, value):
+        """Return the value of a row with its aliases."""
+        for address, alias in self._aliases.items():
+            value = value.replace(address, alias)
+        return value
+
+
+class _AliasedTable(MemoryTable):
+    """A table whose rows are written with the aliases of addresses."""
+
+    def __init__(self, clock, faults, replace):
+        super().__init__(clock, faults)
+        self._replace = replace
+
+    def write(self, conditions, puts, deletes=()):
+        """Write rows; see `MemoryTable.write`."""
+        puts = [(key, self._replace(value)) for key, value in puts]
+        return super().write(conditions, puts, deletes)
+
+
 def make_platform(clock):
     """Return (root resource, faults) of an in-memory platform."""
     faults = Faults()
     root = Resource()
+    aliases = AliasResource()
     tables = {
-        "samphiredeal": MemoryTable(clock, faults),
+        "samphiredeal": _AliasedTable(clock, faults, aliases.replace),
         "op": MemoryTable(clock, faults),
     }
     add_store(root, tables, MemoryObjects(faults))
     root.putChild(b"faults", FaultResource(faults))
+    root.putChild(b"aliases", aliases)
     return root, faults
 
 
--- a/packages/standins/src/samphiredeal/standins/proxy.py
+++ b/packages/standins/src/samphiredeal/standins/proxy.py
@@ -4,7 +4,8 @@
 ``POST /`` on the control port takes ``{"mode": ..., "delay_s": ...}``. Modes:
 ``pass``, ``delay`` (received data is delayed), ``deaf`` (data to the target is
 dropped), ``mute`` (data from the target is dropped), ``silent`` (both are dropped),
-``reset`` (open and new connections are reset).
+``reset`` (open and new connections are reset), ``closed`` (open connections go on, new
+ones are refused).
 """
 
 import msgspec
@@ -17,16 +18,22 @@
 from samphiredeal.standins import settings
 
 MODES = ("pass", "delay", "deaf", "mute", "silent", "reset")
+CLOSED = "closed"
 _CONNECT_TIMEOUT_S = 2.0
 
 
 class ProxyState:
-    """The current mode and the open connections."""
+    """The current mode, the listener and the open connections.
+
+    `listen()` starts to accept connections and returns the listener.
+    """
 
     def __init__(self):
         self.mode = "pass"
         self.delay_s = 0.0
         self.connections = set()
+        self.listen = None
+        self._listener = None
 
     def set_mode(self, mode, delay_s=0.0):
         """Change the mode; ``reset`` aborts the open connections."""
@@ -34,6 +41,11 @@
         if mode == "reset":
             for connection in list(self.connections):
                 connection.transport.abortConnection()
+        if mode == CLOSED and self._listener is not None:
+            self._listener.stopListening()
+            self._listener = None
+        elif mode != CLOSED and self._listener is None:
+            self._listener = self.listen()
 
 
 class ProxyConnection(Protocol):
@@ -128,7 +140,8 @@
     document = settings.read(path, ["host", "port", "target_port", "control_port"])
     state, host = ProxyState(), document["host"]
     factory = ProxyFactory(state, host, document["target_port"])
-    reactor.listenTCP(document["port"], factory, interface=host)
+    state.listen = lambda: reactor.listenTCP(document["port"], factory, interface=host)
+    state.set_mode("pass")
     control = Site(ControlResource(state))
     reactor.listenTCP(document["control_port"], control, interface=host)
     reactor.run()
--- a/packages/standins/src/samphiredeal/standins/soak.py
+++ b/packages/standins/src/samphiredeal/standins/soak.py
@@ -1,16 +1,22 @@
 """A randomized soak test: ``python -m samphiredeal.standins.soak SEED [SECONDS]``.
 
-Runs the real programs beside stand-ins, submits jobs and injects faults from outside:
-processes are killed, paused, stopped and restarted, and connections to the store and
-to workers are delayed, blocked in one or both directions, and reset. Another writer
-leaves malformed rows in the store and sends malformed heartbeats and frames. Then
-removes all faults and checks invariants from the job states and the workers' histories.
+Runs the real programs beside stand-ins, submits jobs on connections that are kept open
+and injects faults from outside: processes are killed, paused, stopped and restarted,
+and connections to the store and to workers, of workers to agents, and between entries
+and agents are delayed, blocked in one or both directions, and reset. Workers crash,
+return under the same or another id, born earlier or later, change their id, close
+their listeners and double their heartbeats. Another writer leaves malformed rows in
+the store and sends malformed heartbeats and frames. Then removes all faults and checks
+invariants from the job states and the workers' histories, and that every worker gets
+starts again.
 The exit status is 1 if an invariant was violated; the logs of all processes stay in the
 folder that is printed.
 """
 
 import base64
 import contextlib
+import http.client
+import json
 import os
 import random
 import signal
@@ -19,8 +25,16 @@
 import tempfile
 import time
 
+import defopt
+
 from samphiredeal.standins import proxy
-from samphiredeal.standins.graph_cluster import GraphCluster, post
+from samphiredeal.standins.graph_cluster import (
+    CALLERS_HOST,
+    KEY,
+    GraphCluster,
+    Reply,
+    post,
+)
 from samphiredeal.standins.launch import HOST, wait_for
 
 WORKERS = 3
@@ -31,6 +45,14 @@
 _FAULT_DURATION_S = (0.3, 4.0)
 _CANCEL_PROBABILITY = 0.15
 _MEAN_MALFORMED_DATA_INTERVAL_S = 1.0
+_MEAN_WORKER_FAULT_INTERVAL_S = 2.0
+_MAX_WORKER_FAULT_S = 1.0
+_MAX_BORN_OFFSET_MS = 9000
+_MAX_DOWN_S = 0.5
+_DISCOVERY_MODES = ("delay", "silent", "reset")
+# Within this time after all faults, every worker gets a start.
+_RETURN_TIMEOUT_S = 10.0
+_CALL_TIMEOUT_S = 5.0
 _CONNECT_TIMEOUT_S = 0.5
 _DEEP = b"[" * 50_000 + b"]" * 50_000
 _MALFORMED_VALUES = (
@@ -56,24 +78,41 @@
 
 
 class SoakCluster(GraphCluster):
-    """A cluster that connects to the store and to workers through proxies."""
+    """A cluster whose processes reach each other through proxies.
+
+    Callers keep one connection to each entry open.
+    """
 
-    def __init__(self, folder):
-        super().__init__(folder)
+    def __init__(self, folder, program=None):
+        super().__init__(folder, program)
         self.proxies = {}
+        self._connections = {}
 
-    def start_proxy(self, name, target):
-        """Start a proxy in front of a stand-in; return its port."""
+    def start_proxy(self, name, target_port):
+        """Start a proxy in front of a port; return its own port."""
         control = self.new_port()
-        self.start_standin(
-            "proxy",
-            name,
-            target_port=self._ports[target],
-            control_port=control,
-        )
+        self.start_standin("proxy", name, target_port=target_port, control_port=control)
         self.proxies[name] = control
         return self._ports[name]
 
+    def call(self, entry, verb, path, document=None, key=KEY):
+        """Make a caller's call on the open connection; return the `Reply`."""
+        connection = self._connections.get(entry)
+        if connection is None:
+            connection = self._connections[entry] = http.client.HTTPConnection(
+                HOST, self._caller_ports[entry], timeout=_CALL_TIMEOUT_S
+            )
+        headers = {"Host": CALLERS_HOST, "Authorization": f"Token {key}"}
+        body = None if document is None else json.dumps(document)
+        try:
+            connection.request(verb, path, body, headers)
+            response = connection.getresponse()
+            return Reply(response.status, json.loads(response.read() or b"{}"))
+        except (OSError, http.client.HTTPException):
+            # The next call opens it again.
+            connection.close()
+            return Reply(0, {})
+
     def put_row(self, key, value):
         """Write a row into the system's table, as another writer."""
         location = {"table": "samphiredeal", "part": "", "key": key}
@@ -98,10 +137,19 @@
         post(url, {"mode": mode, "delay_s": delay_s})
 
     def _store_port(self, name):
-        return self.start_proxy(f"store-{name}", "platform")
+        return self.start_proxy(f"store-{name}", self._ports["platform"])
 
     def _worker_port(self, name):
-        return self.start_proxy(f"way-{name}", name)
+        return self.start_proxy(f"way-{name}", self._ports[name])
+
+    def _heartbeat_port(self, name, control_port):
+        return self.start_proxy(f"heartbeat-{name}", control_port)
+
+    def _announce(self, name, port):
+        if name in self._caller_ports:
+            return
+        alias = f"{HOST}:{self.start_proxy(f'link-{name}', port)}"
+        post(self.url_of("platform") + "/aliases", {f"{HOST}:{port}": alias})
 
 
 def _send(port, data):
@@ -116,11 +164,15 @@
 class Soak:
     """One run; `seed` determines its random choices."""
 
-    def __init__(self, seed, folder):
+    def __init__(self, seed, folder, workers=WORKERS, entries=ENTRIES, program=None):
         self._random = random.Random(seed)
-        # Malformed data must not change the other choices of a seed.
+        # Malformed data and faults of workers must not change a seed's other choices.
         self._malformed_random = random.Random(f"odd data {seed}")
-        self._cluster = SoakCluster(folder)
+        self._worker_random = random.Random(f"workers {seed}")
+        self._cluster = SoakCluster(folder, program)
+        self._workers = [f"worker-{number}" for number in range(workers)]
+        self._entry_count = entries
+        self._id_count = 0
         self._accepted = {}
         self._refused = set()
         self._cancelled = set()
@@ -135,7 +187,7 @@
         try:
             self._start()
             end_at = time.monotonic() + seconds
-            next_job = next_fault = next_malformed_data = 0.0
+            next_job = next_fault = next_malformed_data = next_worker_fault = 0.0
             while time.monotonic() < end_at:
                 now = time.monotonic()
                 if now >= next_job:
@@ -151,6 +203,11 @@
                     next_malformed_data = now + self._malformed_random.expovariate(
                         1 / _MEAN_MALFORMED_DATA_INTERVAL_S
                     )
+                if now >= next_worker_fault:
+                    self._disturb_worker()
+                    next_worker_fault = now + self._worker_random.expovariate(
+                        1 / _MEAN_WORKER_FAULT_INTERVAL_S
+                    )
                 self._run_due_repairs(now)
                 self._restart_exited()
                 time.sleep(0.05)
@@ -163,14 +220,11 @@
         cluster = self._cluster
         cluster.start_standin("platform", "platform")
         cluster.configure()
-        for number in range(ENTRIES):
+        for number in range(self._entry_count):
             cluster.start_graph_entry(f"entry-{number}", f"zone-{number % 2}")
-        for number in range(WORKERS):
+        for number, name in enumerate(self._workers):
             cluster.start_graph_worker(
-                f"worker-{number}",
-                f"zone-{number % 2}",
-                f"r{number}",
-                _ACCELERATORS,
+                name, f"zone-{number % 2}", f"r{number}", _ACCELERATORS
             )
         cluster.wait_until_ready()
 
@@ -208,7 +262,7 @@
 
     def _choose_process(self):
         names = [*self._cluster.entries]
-        names += [f"agent-worker-{number}" for number in range(WORKERS)]
+        names += [f"agent-{name}" for name in self._workers]
         candidates = [name for name in names if name not in self._faulty_processes]
         return self._random.choice(candidates) if candidates else None
 
@@ -247,13 +301,56 @@
 
         self._pending_repairs.append((time.monotonic() + duration_s, repair))
 
+    def _disturb_worker(self):
+        """Disturb a worker, or the connections by which it and its agent are heard."""
+        chosen, name = self._worker_random, self._worker_random.choice(self._workers)
+        own_id, self._id_count = f"i-{name}", self._id_count + 1
+        other_id = f"{own_id}-{self._id_count}"
+        duration_s = chosen.uniform(0.05, _MAX_WORKER_FAULT_S)
+        offset_ms = chosen.choice((-1, 1)) * chosen.randint(1, _MAX_BORN_OFFSET_MS)
+        fault = chosen.choice(
+            ("restart", "rename", "heartbeats", "closed", "heartbeat", "link")
+        )
+        arguments = {}
+        if fault == "restart":
+            arguments["id"] = chosen.choice((own_id, other_id))
+            arguments["born_offset_ms"] = offset_ms
+            arguments["down_s"] = min(duration_s, _MAX_DOWN_S)
+        elif fault == "rename":
+            arguments["id"] = other_id
+        elif fault == "heartbeats":
+            arguments = {"seconds": 2.0, "delay_s": 2 * duration_s, "copies": 2}
+        if arguments:
+            self._cluster.disturb_worker(name, fault, **arguments)
+        else:
+            self._disturb_connections(fault, name, duration_s)
+        self.faults.append((fault, name, arguments or round(duration_s, 2)))
+
+    def _disturb_connections(self, fault, worker, duration_s):
+        chosen, cluster = self._worker_random, self._cluster
+        if fault == "closed":
+            name, modes = f"way-{worker}", [proxy.CLOSED]
+            if chosen.random() < 0.5:
+                modes.insert(0, "reset")
+        else:
+            name = f"link-agent-{worker}" if fault == "link" else f"{fault}-{worker}"
+            modes = [chosen.choice(_DISCOVERY_MODES)]
+            duration_s *= 4
+        for mode in modes:
+            cluster.set_fault(name, mode, min(duration_s, 0.4))
+
+        def repair():
+            cluster.set_fault(name, "pass")
+
+        self._pending_repairs.append((time.monotonic() + duration_s, repair))
+
     def _leave_malformed_data(self):
         """Write a malformed row, and send a malformed heartbeat and a frame."""
         chosen = self._malformed_random
         value = chosen.choice(_MALFORMED_VALUES)
         name = f"odd-{chosen.randrange(20)}"
         self._cluster.put_row(chosen.choice(_MALFORMED_PREFIXES) + name, value)
-        agent = f"agent-worker-{chosen.randrange(WORKERS)}"
+        agent = f"agent-{self._workers[chosen.randrange(len(self._workers))]}"
         self._cluster.send_heartbeat(agent, name, value)
         target = chosen.choice([*self._cluster.entries, agent])
         self._cluster.send_bytes(target, len(value).to_bytes(4, "big") + value)
@@ -299,14 +396,37 @@
                 violations.append(
                     f"{job_id} is {self._state(entry, job_id)!r} at the end"
                 )
+        idle = self._find_idle_workers(entry)
         history = [
             (number, event)
-            for number in range(WORKERS)
-            for event in self._cluster.history(f"worker-{number}")
+            for number, name in enumerate(self._workers)
+            for event in self._cluster.history(name)
         ]
         violations += [f"{name} ended by itself" for name in self._ended_by_themselves]
+        violations += [f"{name} gets no start any more" for name in idle]
         return violations + self._check(history)
 
+    def _find_idle_workers(self, entry):
+        """Submit work for all workers; return those that get no start of it."""
+        cluster = self._cluster
+        step = {**_STEP, "count": _ACCELERATORS * len(self._workers)}
+        before = {name: cluster.start_counts(name) for name in self._workers}
+
+        def idle():
+            return [
+                name
+                for name in self._workers
+                if cluster.start_counts(name) == before[name]
+            ]
+
+        deadline, number = time.monotonic() + _RETURN_TIMEOUT_S, 0
+        while idle() and time.monotonic() < deadline:
+            document = {"spec": "0.5", "steps": [step]}
+            cluster.call(entry, "POST", f"/normal/e{number}", document)
+            number += 1
+            time.sleep(0.5)
+        return idle()
+
     def _state(self, entry, job_id):
         reply = self._cluster.call(entry, "GET", f"/normal/{job_id}")
         return reply.document.get("state")
@@ -339,13 +459,29 @@
         return violations
 
 
-def main(seed, seconds=30.0, folder=None):
-    """Run one soak test and print its result; return the exit status."""
+def main(
+    seed: int,
+    seconds: float = 30.0,
+    folder: str = "",
+    *,
+    workers: int = WORKERS,
+    entries: int = ENTRIES,
+    program: list[str] | None = None,
+):
+    """Run one soak test and print its result; return the exit status.
+
+    :param seed: determines the random choices
+    :param seconds: how long faults are injected
+    :param folder: where the logs are left, by default a new temporary folder
+    :param workers: the number of workers, each with an agent
+    :param entries: the number of entries
+    :param program: the command of another build
+    """
     # Exit by an exception, so that the cluster's processes are killed.
     signal.signal(signal.SIGTERM, lambda *_: sys.exit(1))
     folder = folder or tempfile.mkdtemp(prefix="soak-")
     os.makedirs(folder, exist_ok=True)
-    soak = Soak(seed, folder)
+    soak = Soak(seed, folder, workers, entries, program)
     violations = soak.run(seconds)
     print(f"seed {seed}: {len(soak.faults)} faults, logs in {folder}")
     for line in violations:
@@ -354,4 +490,4 @@
 
 
 if __name__ == "__main__":
-    sys.exit(main(int(sys.argv[1]), *map(float, sys.argv[2:3])))
+    sys.exit(defopt.run(main))
