--- a/packages/standins/src/samphiredeal/standins/graph_cluster.py
+++ b/packages/standins/src/samphiredeal/standins/graph_cluster.py
@@ -67,17 +67,17 @@
 
     def start_graph_worker(self, name, zone, rack="r1", accelerators=8):
         """Start a worker and the agent beside it."""
-        control = f"{HOST}:{self.new_port()}"
+        control_port = self.new_port()
         self.start_standin(
             "graph-worker",
             name,
             zone=zone,
             rack=rack,
             accelerators=accelerators,
-            agent_address=control,
+            agent_address=f"{HOST}:{self._heartbeat_port(name, control_port)}",
         )
         extra = {
-            "listen-addresses": {"control": control},
+            "listen-addresses": {"control": f"{HOST}:{control_port}"},
             "app": f"{HOST}:{self._worker_port(name)}",
         }
         self._start_on_platform(f"agent-{name}", "agent", zone, extra)
@@ -141,11 +141,20 @@
 
     def start_counts(self, worker):
         """Return the number of starts of each task on a worker."""
-        return _call(self.url_of(worker) + "/runs", "GET").document
+        return self._ask_worker(worker, "/runs")
 
     def history(self, worker):
         """Return the starts and ends of runs on a worker, in order."""
-        return _call(self.url_of(worker) + "/history", "GET").document
+        return self._ask_worker(worker, "/history")
+
+    def recorded_ends(self, worker):
+        """Return the ends of runs on a worker that its agent has confirmed."""
+        return self._ask_worker(worker, "/recorded")
+
+    def disturb_worker(self, worker, fault, **arguments):
+        """Inject a fault into a worker; see `graph_worker`."""
+        url = self.url_of(worker) + "/control"
+        return post(url, {"fault": fault, **arguments}).status == 200
 
     def scheduler(self):
         """Return the entry that logs the highest epoch as scheduler, or None."""
@@ -168,6 +177,22 @@
         """Return the port at which an agent reaches its worker."""
         return self._ports[name]
 
+    def _heartbeat_port(self, _name, control_port):
+        """Return the port at which a worker reaches its agent."""
+        return control_port
+
+    def _announce(self, name, port):
+        """Called before a process starts that announces a port for links."""
+
+    def _ask_worker(self, worker, path):
+        """Return what a worker tells of itself, once its listener is open."""
+
+        def answer():
+            reply = _call(self.url_of(worker) + path, "GET")
+            return reply if reply.status == 200 else None
+
+        return wait_for(answer, _CALL_TIMEOUT_S, f"{worker} answers").document
+
     def _find_unused_ports(self, find_free, count):
         """Return the first of `count` adjacent free ports not used by this cluster."""
         while True:
@@ -189,6 +214,7 @@
             **extra,
         }
         self._roles_and_settings[name] = (role, document)
+        self._announce(name, base)
         self.start_again(name)
 
 
