Start the clock of a simulated worker anew with each life

PROTOCOL.md: a worker that starts again under its id knows nothing of before, and its clock starts anew. The simulated one went on with the clock of its former life, so that no test saw what a deadline of the former life does in the next one. The tests of the agent, test_worker_replaced, test_worker_claims and test_worker_evidence pass with it.

--- a/packages/platform/src/samphiredeal/platform/memory_worker.py
+++ b/packages/platform/src/samphiredeal/platform/memory_worker.py
@@ -131,6 +131,7 @@
 
     def __init__(self, clock, facts, describe, gangs=None, lease_max_s=6.0, watch=None):
         self.clock = clock
+        self._born_at = clock.seconds()
         self.facts = facts
         self.faults = WorkerFaults()
         self.gangs = gangs or Gangs()
@@ -142,7 +143,7 @@
         self._completions = 0
         self._highest = {}
         self._epoch = 0
-        self._deadline = 0.0
+        self._deadline_ms = 0
         self._lease_timer = None
         self._waiting_polls = []
 
@@ -273,11 +274,12 @@
         return True
 
     def _extend(self, deadline_ms):
-        latest = self.clock.seconds() + self._lease_max_s
-        self._deadline = max(self._deadline, min(deadline_ms / 1000, latest))
+        now_ms = self._now_ms()
+        latest_ms = now_ms + int(self._lease_max_s * 1000)
+        self._deadline_ms = max(self._deadline_ms, min(deadline_ms, latest_ms))
         if self._lease_timer is not None and self._lease_timer.active():
             self._lease_timer.cancel()
-        left_s = max(0.0, self._deadline - self.clock.seconds())
+        left_s = max(0, self._deadline_ms - now_ms) / 1000
         self._lease_timer = self.clock.callLater(left_s, self._lapse)
 
     def _lapse(self):
@@ -306,7 +308,7 @@
         return PollResult(self._now_ms(), self.facts.born_ms, running, ended)
 
     def _now_ms(self):
-        return int(self.clock.seconds() * 1000)
+        return int((self.clock.seconds() - self._born_at) * 1000)
 
 
 def _percent(task):
