Restart workers at an earlier time in the test of their claims

The workers' start time was 1, and an earlier one was clipped to 1, so that restart_with_an_earlier_start_time began a life with the id and the start time of the former one, and a foreign heartbeat named the worker's own life.

--- a/tests/test_worker_claims.py
+++ b/tests/test_worker_claims.py
@@ -12,6 +12,8 @@
 JOB_INTERVAL_S = 0.25
 SHORT = {**STEP, "count": 2, "gpu": 2, "cpu": 2000, "mem-mb": 2000}
 CLOCK_STEP_MS = 5000
+# The start time of the first lives, above that of any that steps of the clock lead to.
+FIRST_BORN_MS = 1_000_000
 
 
 def hear(world, name, facts, sequence):
@@ -31,14 +33,13 @@
 
 def restart_with_an_earlier_start_time(world, name):
     facts = world.workers[name].facts
-    begin_life(world, name, born_ms=max(1, facts.born_ms - CLOCK_STEP_MS))
+    begin_life(world, name, born_ms=facts.born_ms - CLOCK_STEP_MS)
 
 
 def restart_under_another_id(world, name):
     facts = world.workers[name].facts
     step_ms = world.random.choice([-CLOCK_STEP_MS, 1, CLOCK_STEP_MS])
-    born_ms = max(1, facts.born_ms + step_ms)
-    begin_life(world, name, id=f"{facts.id}'", born_ms=born_ms)
+    begin_life(world, name, id=f"{facts.id}'", born_ms=facts.born_ms + step_ms)
 
 
 def change_id(world, name):
@@ -50,7 +51,7 @@
     facts = world.workers[name].facts
     worker_id = world.random.choice([facts.id, "i-other"])
     step_ms = world.random.choice([-CLOCK_STEP_MS, CLOCK_STEP_MS])
-    claimed = facts._replace(id=worker_id, born_ms=max(1, facts.born_ms + step_ms))
+    claimed = facts._replace(id=worker_id, born_ms=facts.born_ms + step_ms)
     hear(world, name, claimed, 10_000)
 
 
@@ -64,6 +65,15 @@
     world.clock.callLater(world.random.uniform(0.05, 1.0), listen)
 
 
+def make_world(seed):
+    """Return a world whose workers' start times leave room for a step of the clock."""
+    world = make_graph_world(seed=seed)
+    for name in world.workers:
+        begin_life(world, name, born_ms=FIRST_BORN_MS)
+    world.run(2 * HEARTBEAT_S)
+    return world
+
+
 FAULTS = (
     restart_with_an_earlier_start_time,
     restart_under_another_id,
@@ -109,7 +119,7 @@
 @pytest.mark.parametrize("seed", range(4))
 @pytest.mark.parametrize("fault", FAULTS, ids=lambda fault: fault.__name__)
 def test_no_task_runs_twice_and_all_workers_stay_in_use(fault, seed):
-    world = make_graph_world(seed=seed)
+    world = make_world(seed)
     play(world, [fault])
     check_invariants(world)
     assert_all_in_service(world)
@@ -118,7 +128,7 @@
 # The same with all of them in turn, beside calls that are carried out late.
 @pytest.mark.parametrize("seed", range(8))
 def test_no_task_runs_twice_whatever_happens_to_the_identity_of_workers(seed):
-    world = make_graph_world(seed=seed)
+    world = make_world(seed)
     play(world, FAULTS, late_s=0.2 * (seed % 2))
     check_invariants(world)
     assert_all_in_service(world)
