--- a/packages/agent/tests/test_worker_identity.py
+++ b/packages/agent/tests/test_worker_identity.py
@@ -40,9 +40,13 @@
 
 
 def check_conclusions(bench):
-    """Check that no incarnation is said to have ended while a run of it is at work."""
+    """Check that no incarnation is said to have ended while a run is at work.
+
+    Not even an earlier one: its runs go on if the worker has changed its id, and its
+    starts may have been carried out by the next one.
+    """
     report = bench.run_manager.report()
-    if report.worker is None and report.ended_life == bench.worker.facts.life:
+    if report.worker is None and report.ended_life:
         assert bench.worker.running == []
 
 
