--- a/packages/platform/src/samphiredeal/platform/memory_worker.py
+++ b/packages/platform/src/samphiredeal/platform/memory_worker.py
@@ -174,6 +174,12 @@
         for polled in polls:
             polled.callback(_connection_refused())
 
+    def stop_clock(self, seconds):
+        """Let the next seconds not count on the worker's clock."""
+        self._born_at += seconds
+        if self._lease_timer is not None and self._lease_timer.active():
+            self._lease_timer.delay(seconds)
+
     def start(self, order, epoch, deadline_ms, timeout_s, worker_id):
         """Start a run; see `ExecutorClient.start`."""
         return self._call(
