Wait for the longest lease of a worker's next life, on the worker's clock

From the review of the fix, TWICE: an incarnation was reported as ended while a run of it was at work. A call that was meant for the former life of a worker names a deadline far ahead on the new clock of the next one, which cuts it to the longest lease it allows: 10 s on some sites, where the agent counted 6. And of the time that a VM is suspended, up to 2 s counted, as did all of it for a start without an answer.

The agent waits for the longest lease after another life under the same id has answered, until it has answered for as long by its own clock, and after a start that no poll has settled.

--- a/packages/agent/src/samphiredeal/agent/graphs/run_manager.py
+++ b/packages/agent/src/samphiredeal/agent/graphs/run_manager.py
@@ -19,7 +19,7 @@
 from twisted.internet.task import deferLater
 
 from samphiredeal.agent.graphs.claims import Claims
-from samphiredeal.agent.graphs.lease_expiry import LeaseExpiry
+from samphiredeal.agent.graphs.lease_expiry import OBSERVE_INTERVAL_S, LeaseExpiry
 from samphiredeal.agent.graphs.progress import ProgressTracker
 from samphiredeal.model import runs
 from samphiredeal.model.runs import Refused, Report, RunId, Running, life_name
@@ -72,8 +72,10 @@
     """A start order whose outcome is unknown.
 
     `life` is the incarnation of the worker that it was decided for. `expires_at` bounds
-    its effect. `refusal` is the reason of a refusal that does not prove by itself that
-    the run has not begun; a poll sent after `refused_at`, or a stop, decides.
+    its effect by this VM's clock, and `deadline_ms`, if it is known, by the worker's,
+    which stops while the VM is suspended. `refusal` is the reason of a refusal that
+    does not prove by itself that the run has not begun; a poll sent after `refused_at`,
+    or a stop, decides.
     """
 
     def __init__(self, order, life, began_at):
@@ -81,6 +83,7 @@
         self.life = life
         self.began_at = began_at
         self.expires_at = None
+        self.deadline_ms = 0
         self.refusal = ""
         self.refused_at = None
 
@@ -107,6 +110,8 @@
         self._claims = Claims()
         self._probed = set()
         self._worker_clock = None
+        # The worker's clock at the first answer of the incarnation that is present.
+        self._first_clock_ms = None
         self._last_poll = None
         self._poll_count = 0
         self._poll_sent_at = self._polled_at = clock.seconds()
@@ -116,6 +121,7 @@
         self._known_incarnation = ""
         self._ended_incarnation = ""
         self._lease_expiry = LeaseExpiry(clock, lease_max_s, self._extension_s)
+        self._expiry_timer = None
         self._refused_connections = 0
         self._is_poll_failing = False
         self._pending_starts = {}
@@ -226,8 +232,12 @@
                 return
 
     def _refute(self, facts, reason):
-        """Drop a claim; log the first of successive ones that are refuted alike."""
+        """Drop a claim."""
         self._claims.pop(facts.id, facts.born_ms)
+        self._log_ignored(facts, reason)
+
+    def _log_ignored(self, facts, reason):
+        """Log the first of successive heartbeats that are ignored alike."""
         present = self._facts.life if self._facts is not None else ""
         ignored = (facts.life, present, reason)
         if ignored != self._ignored_heartbeat:
@@ -277,11 +287,14 @@
                     before=self._known_incarnation,
                     starts_in_doubt=len(self._pending_starts),
                 )
+            if self._known_incarnation.startswith(f"{self._facts.id}/"):
+                self._lease_expiry.record_next_life()
             self._known_incarnation = life
             self._completions_recorded = 0
             self._forget_orders()
         self._ended_incarnation = ""
         self._worker_clock = None
+        self._first_clock_ms = None
         self._last_poll = None
 
     def _lose_worker(self, reason):
@@ -299,16 +312,34 @@
         self._facts = None
         self._last_poll = None
         self._refused_connections = 0
+        self._watch_expiry()
         self._on_change()
 
-    def _end_expired_incarnation(self):
-        """Report an absent or silent incarnation as ended once its lease has expired.
+    def _watch_expiry(self):
+        """Count the time until the lease has expired while nobody answers."""
+        if self._expiry_timer is None:
+            self._lease_expiry.resume()
+            self._expiry_timer = self._clock.callLater(
+                OBSERVE_INTERVAL_S, self._observe_expiry
+            )
 
-        By then its starts in doubt are late, too.
-        """
-        life = self._known_incarnation
-        if not life or not self._lease_expiry.expired or self._is_answering:
+    def _observe_expiry(self):
+        self._expiry_timer = None
+        if self._stopped or self._is_answering or not self._known_incarnation:
             return
+        self._lease_expiry.observe()
+        self._end_expired_incarnation()
+        if self._known_incarnation:
+            self._expiry_timer = self._clock.callLater(
+                OBSERVE_INTERVAL_S, self._observe_expiry
+            )
+
+    def _end_expired_incarnation(self):
+        """Report an incarnation that does not answer as ended without a lease."""
+        starts_in_doubt = {*self._pending_starts, *self._acknowledged_starts}
+        if not self._lease_expiry.is_expired(bool(starts_in_doubt)):
+            return
+        life = self._known_incarnation
         if self._facts is not None:
             self._lose_worker("it has not answered until its lease had expired")
         log_message(
@@ -391,13 +422,14 @@
 
     async def _start(self, run, start):
         deadline_ms = self._worker_now_ms() + int(START_VALID_S * 1000)
+        start.deadline_ms = deadline_ms
         began_at, epoch = start.began_at, self._authority.epoch
         # Whether no earlier try can take effect any more.
         is_only_try = began_at >= self._earlier_starts_expire_at
         while self._is_current(run, start):
             if run in self._pending_stops:
                 break
-            self._lease_expiry.record_extension()
+            self._lease_expiry.record_start()
             answer = await self._calls.start(
                 start.order, epoch, deadline_ms, START_TIMEOUT_S, self._facts.id
             )
@@ -527,8 +559,6 @@
 
     async def _poll_once(self):
         """Poll once; return the pause before the next poll in seconds."""
-        self._lease_expiry.observe()
-        self._end_expired_incarnation()
         facts = self._facts
         if facts is None:
             await self._probe_claims()
@@ -541,7 +571,7 @@
         deadline_ms = None
         if authorized and self._is_answering:
             deadline_ms = self._worker_now_ms() + int(self._extension_s * 1000)
-            self._lease_expiry.record_extension()
+            self._lease_expiry.record_poll()
         # After a failed call the worker may be another incarnation under the same id,
         # whose completions must not be discarded by the number of an earlier one's.
         answer = await self._calls.poll(
@@ -597,6 +627,7 @@
 
     def _handle_failed_poll(self, answer, began_at):
         self._log_poll_failure(answer.reason)
+        self._watch_expiry()
         self._refused_connections = (
             self._refused_connections + 1 if answer.nobody_listens else 0
         )
@@ -624,6 +655,9 @@
         if self._worker_clock is not None and poll.clock_ms < self._worker_clock[0]:
             # A newer poll on another connection was answered first.
             return
+        if self._first_clock_ms is None:
+            self._first_clock_ms = poll.clock_ms
+        self._lease_expiry.record_age((poll.clock_ms - self._first_clock_ms) / 1000)
         self._worker_clock = (poll.clock_ms, self._clock.seconds())
         self._last_poll = poll
         self._poll_sent_at, self._polled_at = began_at, self._clock.seconds()
@@ -648,7 +682,7 @@
             if complete and is_final and began_at > start.refused_at:
                 del self._pending_starts[run]
                 self._refused[run] = start.refusal
-            elif complete and start.expires_at and began_at > start.expires_at:
+            elif complete and start.expires_at and self._is_expired(start, began_at):
                 del self._pending_starts[run]
                 self._refused[run] = start.refusal or runs.UNANSWERED
         for run, started_at in list(self._acknowledged_starts.items()):
@@ -667,6 +701,11 @@
     def _spawn(self, coroutine):
         ensureDeferred(coroutine).addErrback(_log_failure)
 
+    def _is_expired(self, start, began_at):
+        """Return whether a start had expired before a poll that began at `began_at`."""
+        is_late = self._last_poll.clock_ms > start.deadline_ms
+        return is_late and began_at > start.expires_at
+
     def _worker_now_ms(self):
         clock_ms, at = self._worker_clock
         return clock_ms + int((self._clock.seconds() - at) * 1000)
