Do not believe one heartbeat against those that follow

A heartbeat of another writer with a worker's own id, start time and a high sequence was believed, and all true ones counted as late: the worker was out of service for good.

--- a/packages/agent/src/samphiredeal/agent/graphs/run_manager.py
+++ b/packages/agent/src/samphiredeal/agent/graphs/run_manager.py
@@ -18,7 +18,7 @@
 from twisted.internet.defer import ensureDeferred
 from twisted.internet.task import deferLater
 
-from samphiredeal.agent.graphs.claims import Claims
+from samphiredeal.agent.graphs.claims import Claim, Claims
 from samphiredeal.agent.graphs.lease_expiry import OBSERVE_INTERVAL_S, LeaseExpiry
 from samphiredeal.agent.graphs.progress import ProgressTracker
 from samphiredeal.model import runs
@@ -52,6 +52,10 @@
 # An extension of the lease, if the worker allows as much. Lasting work has to run again
 # 9 s after it is lost with its worker, and only the expired lease shows the loss.
 _EXTENSION_S = 6.0
+# Successive heartbeats after which one that was not believed is, and after which a
+# worker that has announced to leave is believed to stay: late ones say so, too.
+_CONFIRMED_AFTER = 2
+_STAYING_AFTER = 4
 # Polls extend the lease for this long after the last answer. Answers may be lost for a
 # moment; a lease that is extended without end would never show that its runs are over.
 _EXTEND_UNANSWERED_S = 2.5
@@ -107,6 +111,9 @@
         # The incarnation that is present, as its heartbeats describe it.
         self._facts = None
         self._sequence = -1
+        # A heartbeat of it that is not believed unless the next one confirms it.
+        self._doubted = None
+        self._doubted_count = 0
         self._claims = Claims()
         self._probed = set()
         self._worker_clock = None
@@ -189,7 +196,7 @@
             if self._claims.add(facts, sequence):
                 self._spawn(self._probe(facts))
             return
-        if sequence <= self._sequence:
+        if not self._is_believed(facts, sequence):
             return
         self._sequence = sequence
         if facts.leaving and not present.leaving:
@@ -202,6 +209,32 @@
         if facts != present:
             self._on_change()
 
+    def _is_believed(self, facts, sequence):
+        """Return whether to believe a heartbeat of the incarnation that is present.
+
+        One that is out of sequence is late, and one that describes another worker comes
+        from another writer. If the next ones go on from there, the one that was
+        believed before was foreign.
+        """
+        described_alike = _constants(facts) == _constants(self._facts)
+        if described_alike and sequence > self._sequence:
+            self._doubted = None
+            return True
+        before, self._doubted = self._doubted, Claim(facts, sequence)
+        goes_on = (
+            before is not None
+            and sequence > before.sequence
+            and _constants(facts) == _constants(before.facts)
+        )
+        self._doubted_count = self._doubted_count + 1 if goes_on else 1
+        is_staying = self._facts.leaving and not facts.leaving
+        if self._doubted_count >= (_STAYING_AFTER if is_staying else _CONFIRMED_AFTER):
+            self._doubted = None
+            return True
+        if not described_alike:
+            self._log_ignored(facts, "it describes another worker")
+        return False
+
     async def _probe(self, facts):
         """Poll a claimed incarnation; return its `PollResult` or an `Unavailable`."""
         if facts.life in self._probed:
@@ -275,6 +308,7 @@
         still reach it.
         """
         self._facts, self._sequence = claim
+        self._doubted = None
         life = self._facts.life
         if self._known_incarnation != life:
             log_message(
@@ -711,5 +745,10 @@
         return clock_ms + int((self._clock.seconds() - at) * 1000)
 
 
+def _constants(facts):
+    """Return what does not change during a life of a worker."""
+    return facts._replace(leaving=False, leaving_in_ms=0)
+
+
 def _log_failure(failure):
     log_message(message_type="keeper_failed", reason=failure.getTraceback())
