Identity plays: lives born later and earlier take turns

Change: in the kinds that draw the sign of a start time, the sign alternates within a play. The other kinds, and their draws, stay as they were.

--- a/packages/standins/src/samphiredeal/standins/identity.py
+++ b/packages/standins/src/samphiredeal/standins/identity.py
@@ -64,7 +64,8 @@
 
 
 # Faults. Each takes a function that disturbs a worker, the worker's own ids in order,
-# and a random generator, and returns how long the fault lasts in seconds.
+# a random generator and a sign that alternates, so that a play has a fault in both
+# ways, and returns how long the fault lasts in seconds.
 
 
 def _restart(disturb, name, offset_ms, chosen, in_s=0.01):
@@ -72,59 +73,59 @@
     disturb("restart", id=name, born_offset_ms=offset_ms, down_s=down_s, in_s=in_s)
 
 
-def _restart_born_later(disturb, ids, chosen):
+def _restart_born_later(disturb, ids, chosen, _sign):
     offset_ms = chosen.randint(500, 9000)
     _restart(disturb, next(ids), offset_ms, chosen)
     return 0.5
 
 
-def _restart_born_before(disturb, ids, chosen):
+def _restart_born_before(disturb, ids, chosen, _sign):
     offset_ms = -chosen.randint(500, 9000)
     _restart(disturb, next(ids), offset_ms, chosen)
     return 0.5
 
 
-def _restart_same_id(disturb, _ids, chosen):
-    offset_ms = chosen.choice((-1, 1)) * chosen.randint(500, 9000)
+def _restart_same_id(disturb, _ids, chosen, sign):
+    offset_ms = sign * chosen.randint(500, 9000)
     _restart(disturb, "", offset_ms, chosen)
     return 0.5
 
 
-def _rename(disturb, ids, _chosen):
+def _rename(disturb, ids, _chosen, _sign):
     disturb("rename", id=next(ids))
     return 0.0
 
 
-def _close_listener(disturb, _ids, chosen):
+def _close_listener(disturb, _ids, chosen, _sign):
     seconds = chosen.uniform(0.05, 1.0)
     disturb("close", seconds=seconds, reset=chosen.random() < 0.7)
     return seconds
 
 
-def _foreign_heartbeat_other_id(disturb, _ids, chosen):
+def _foreign_heartbeat_other_id(disturb, _ids, chosen, _sign):
     name = f"i-foreign-{chosen.getrandbits(32):08x}"
     offset_ms = chosen.randint(500, 9000)
     disturb("foreign_heartbeat", id=name, born_offset_ms=offset_ms, sequence=1)
     return 0.0
 
 
-def _foreign_heartbeat_own_id(disturb, _ids, chosen):
-    offset_ms = chosen.choice((-1, 1)) * chosen.randint(500, 9000)
+def _foreign_heartbeat_own_id(disturb, _ids, chosen, sign):
+    offset_ms = sign * chosen.randint(500, 9000)
     disturb("foreign_heartbeat", id="", born_offset_ms=offset_ms, sequence=1000)
     return 0.0
 
 
-def _late_heartbeats(disturb, ids, chosen):
+def _late_heartbeats(disturb, ids, chosen, sign):
     """Restart while heartbeats of the former life are still on their way."""
     in_s = 1.6
     delay_s = chosen.uniform(0.5, 2.0)
     disturb("heartbeats", seconds=in_s, delay_s=delay_s, copies=2)
-    offset_ms = chosen.choice((-1, 1)) * chosen.randint(500, 9000)
+    offset_ms = sign * chosen.randint(500, 9000)
     _restart(disturb, next(ids), offset_ms, chosen, in_s)
     return in_s + delay_s + 0.5
 
 
-def _omit_born(disturb, _ids, chosen):
+def _omit_born(disturb, _ids, chosen, _sign):
     seconds = chosen.uniform(0.2, 1.0)
     disturb("omit_born", seconds=seconds)
     return seconds
@@ -193,7 +194,7 @@
         present_ids = {name: f"i-{name}" for name in names}
         order = itertools.islice(itertools.cycle(chosen.sample(names, WORKERS)), faults)
         lasts_until = time.monotonic()
-        for name in order:
+        for name, sign in zip(order, itertools.cycle((-1, 1)), strict=False):
             if kind != UNDISTURBED:
 
                 def disturb(fault, name=name, **arguments):
@@ -203,7 +204,7 @@
                             present_ids[name] = arguments["id"]
                     assert cluster.disturb_worker(name, fault, **arguments)
 
-                lasts_s = FAULTS[kind](disturb, ids[name], chosen)
+                lasts_s = FAULTS[kind](disturb, ids[name], chosen, sign)
                 lasts_until = max(lasts_until, time.monotonic() + lasts_s)
             load.go_on(chosen.uniform(*_FAULT_INTERVAL_S))
         load.go_on(lasts_until - time.monotonic())
