Close links to agents on which no report comes

Their agents had been evicted while their links lost what was sent; the link that was opened anew lost the scheduler's first message, too. The agent never reported on it, and nobody closed it: evicted agents have no timeout.

--- a/packages/entry/src/samphiredeal/entry/graphs/sessions.py
+++ b/packages/entry/src/samphiredeal/entry/graphs/sessions.py
@@ -46,6 +46,7 @@
         self.is_place_stored = False
         self.place_version = 0
         self.link = None
+        self.link_opened_at = now
         self.connecting = False
         self.retry_at = now
         self.last_report_at = None
@@ -112,6 +113,9 @@
             if session.link is None and now >= session.retry_at:
                 self._connect(session)
             no_report_s = now - session.no_report_since
+            if min(no_report_s, now - session.link_opened_at) > EVICT_AFTER_S:
+                # The agent may not have heard the scheduler on this link.
+                self._close_link(session)
             if no_report_s > UNRESPONSIVE_AFTER_S:
                 self._dispatcher.scheduler.mark_worker_unreachable(session.name)
             if no_report_s > EVICT_AFTER_S:
@@ -245,6 +249,7 @@
                 link.close()
                 return
             session.link = link
+            session.link_opened_at = self._clock.seconds()
             session.last_report_at = session.no_worker_since = None
             link.on_message = lambda _link, message: self._message_received(
                 session, link, message
--- a/tests/test_restarted_agents.py
+++ b/tests/test_restarted_agents.py
@@ -150,3 +150,25 @@
     world.run(2 * lease_wait_s(LEASE_S))
     assert world.event_log.overlaps() == []
     assert len(world.event_log.starts("a1.0.0.0")) == 2
+
+
+# Guards against workers out of service: a link that was opened while messages were lost
+# stayed silent for ever, as the agent had not heard the scheduler on it (soak, 35009).
+@pytest.mark.parametrize("silent_s", [1.0, 2.7, 3.5, 6.0])
+def test_agent_is_used_again_after_its_link_was_silent(silent_s):
+    world = make_graph_world()
+    pair = {world.scheduler(), "w0"}
+    transmit = world.network.transmit
+    silent_until = world.clock.seconds() + silent_s
+
+    def transmit_unless_silent(link, data):
+        is_silent = world.clock.seconds() < silent_until
+        if not is_silent or {link.node.name, link.peer_name} != pair:
+            transmit(link, data)
+
+    world.network.transmit = transmit_unless_silent
+    world.run(silent_s + 5.0)
+    step = {"count": 4, "gpu": 8, "estimated-ms": 1000}
+    assert world.submit("e0", "a1", [step]).kind == "accepted"
+    world.run(2.0)
+    assert {one.worker for one in world.event_log.starts()} == set(world.workers)
