--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -18,6 +18,8 @@
 FAILED_SEEDS = (
     # Fault of the check: a paused entry applied a cancel after its caller timed out.
     349,
+    # Evicted agents whose new links lost the first message were never asked again.
+    35009,
 )
 
 
