--- a/packages/entry/src/samphiredeal/entry/graphs/dispatcher.py
+++ b/packages/entry/src/samphiredeal/entry/graphs/dispatcher.py
@@ -42,6 +42,8 @@
 # How long a new scheduler waits for the reports of all workers before it places
 # anything, so that it can choose among all of them.
 _REPORT_WAIT_S = 0.25
+# Steps of a job that are described in the log.
+_LOGGED_STEPS = 12
 # How often new checkpoints of running work are stored, so that they survive the loss of
 # every scheduler's memory.
 _CHECKPOINT_INTERVAL_S = 2.5
@@ -311,6 +313,12 @@
             queue=job.record.queue,
             priority=job.record.priority,
             unseen_s=job.unseen_s,
+            stretch=job.record.stretch,
+            target_s=job.record.target_latency_ms / 1000,
+            steps=[
+                (step.estimate_ms / 1000, step.count, step.checkpointing, step.after)
+                for step in job.record.spec.steps[:_LOGGED_STEPS]
+            ],
         )
 
     def _log_ended_jobs(self, jobs):
--- a/packages/policy/src/samphiredeal/policy/graphs/health.py
+++ b/packages/policy/src/samphiredeal/policy/graphs/health.py
@@ -121,7 +121,7 @@
         return False
     if placement.still_looks < _STALL_MIN_POLLS:
         return False
-    return placement.seen_at - _stalled_since(placement) > _stall_limit_s(unit)
+    return placement.seen_at - _stalled_since(placement) > stall_limit_s(unit)
 
 
 def should_restart(placement):
@@ -154,7 +154,7 @@
     return max(placement.percent_at, began_at)
 
 
-def _stall_limit_s(unit):
+def stall_limit_s(unit):
     """Return how long a run of the unit may go without progress."""
     short_s = min(_STALL_SHORT_SHARE * unit.estimate_s, _STALL_SHORT_MAX_S)
     if unit.checkpoint:
--- a/packages/policy/src/samphiredeal/policy/graphs/reports.py
+++ b/packages/policy/src/samphiredeal/policy/graphs/reports.py
@@ -3,7 +3,7 @@
 from samphiredeal.model import runs
 from samphiredeal.model.graph import parse_task_name
 from samphiredeal.model.runs import RunId
-from samphiredeal.policy.graphs import health
+from samphiredeal.policy.graphs import health, measuring
 from samphiredeal.policy.graphs.records import mark_listed
 from samphiredeal.policy.graphs.state import (
     ACTIVE,
@@ -177,6 +177,7 @@
     if placement.first_look is None:
         placement.first_look = (polled_at, running.percent)
     if running.percent != placement.percent:
+        measuring.record_change(placement, running.percent, polled_at)
         placement.percent = running.percent
         placement.percent_at = polled_at
         placement.still_looks = 0
@@ -214,6 +215,7 @@
     placement = unit.placements.get(index)
     is_current = placement is not None and placement.run == ended.run
     if is_current and placement.worker == worker.name:
+        measuring.record_run(scheduler.speeds, placement, worker)
         _remove(worker, placement)
     elif ended.how != runs.DONE or unit.done or unit.spec.lasting:
         return
--- a/packages/policy/src/samphiredeal/policy/graphs/scheduler.py
+++ b/packages/policy/src/samphiredeal/policy/graphs/scheduler.py
@@ -10,6 +10,7 @@
 from samphiredeal.policy.graphs import (
     fitting,
     health,
+    measuring,
     ordering,
     reclaim,
     records,
@@ -17,6 +18,7 @@
 )
 from samphiredeal.policy.graphs import reports as reporting
 from samphiredeal.policy.graphs.headroom import Headroom
+from samphiredeal.policy.graphs.speeds import WorkerSpeeds
 from samphiredeal.policy.graphs.state import (
     CANCELLED,
     FAILED,
@@ -69,6 +71,7 @@
         self.zones_out = frozenset()
         self.guarantees = {}
         self.tickets = Tickets()
+        self.speeds = WorkerSpeeds()
         self._headroom = Headroom()
         self._advice_request = None
         # Units of which agents list runs without a placement; None: to be collected.
@@ -122,6 +125,11 @@
         """Add a worker that an agent has announced."""
         self._worker(name, zone)
 
+    def restore_speed(self, name, belief):
+        """Take over the `Belief` of an earlier scheduler on a worker's speed."""
+        self.speeds.restore(name, belief)
+        self.workers[name].speed = self.speeds.speed_of(name)
+
     def remove_worker(self, name):
         """Remove a worker if it has no placements."""
         worker = self.workers.get(name)
@@ -208,6 +216,7 @@
                 job.add_due_occurrences(wall_ms)
                 if not job.units:
                     job.close_finished(now)
+        self._measure_speeds(now)
         self._stop_unwanted_runs(now)
         covered = self._covered_jobs()
         context = ordering.OrderingContext(wall_ms, self._share_function())
@@ -263,6 +272,17 @@
 
     # Decisions
 
+    def _measure_speeds(self, now):
+        """Update what is believed of the workers' speeds, from the runs on them."""
+        for worker in self.workers.values():
+            fields = measuring.refresh(self.speeds, worker, now)
+            if fields is not None:
+                self._log_entries.append(Note("worker_speed", fields))
+        for job_id in self.speeds.open_jobs:
+            job = self.jobs.get(job_id)
+            if job is None or not job.active:
+                self.speeds.close_job(job_id)
+
     def _worker(self, name, zone):
         worker = self.workers.get(name)
         if worker is None:
@@ -477,7 +497,7 @@
         else:
             if unit.job.urgent:
                 self._headroom.record(unit, fitting.capacity_of(workers).whole, now)
-            self._start(unit, places, now)
+            self._start(unit, places, now, max(one.speed for one in workers))
             return True
         if unit.job.urgent and not unit.claim:
             share = context.share(unit.job, unit.step)
@@ -530,7 +550,8 @@
             fields = {"job": unit.job.id, "unit": unit.key, "reason": reason}
             self._log_entries.append(Note("unit_waits", fields))
 
-    def _start(self, unit, places, now):
+    def _start(self, unit, places, now, fastest=None):
+        """Start a unit; `fastest` is the speed of the fastest usable worker, to log."""
         unit.run += 1
         self._claim(unit, {})
         names = [name for name, count in places.items() for _ in range(count)]
@@ -551,6 +572,10 @@
                     "unit": unit.key,
                     "run": unit.run,
                     "places": places,
+                    "speeds": {
+                        name: round(self.workers[name].speed, 2) for name in places
+                    },
+                    "fastest": fastest and round(fastest, 2),
                     "cores": reclaim.member_cores(unit),
                     "waited_s": round(waited_s, 3),
                     "failures": unit.failures,
--- a/packages/policy/src/samphiredeal/policy/graphs/state.py
+++ b/packages/policy/src/samphiredeal/policy/graphs/state.py
@@ -37,9 +37,11 @@
         "committed",
         "first_look",
         "index",
+        "is_moving",
         "life",
         "percent",
         "percent_at",
+        "progress_s",
         "run",
         "running_since",
         "seen_at",
@@ -51,6 +53,7 @@
         "stop_sent_at",
         "stopping",
         "unit",
+        "worked_percent",
         "worker",
     )
 
@@ -72,6 +75,11 @@
         self.still_looks = 0
         # Time and percentage of the first poll, the base of the speed.
         self.first_look = None
+        # Progress between polls in which the percentage changed, without stalls, and
+        # the time that it took.
+        self.is_moving = False
+        self.worked_percent = 0
+        self.progress_s = 0.0
         self.stopping = ""
         # Times of the first and the last order to stop.
         self.stop_ordered_at = None
@@ -364,6 +372,9 @@
         self.failures = []
         self.successes = []
         self.stalled_at = None
+        # Expected speed relative to an average worker, and when it is estimated anew.
+        self.speed = 1.0
+        self.speed_due_at = float("-inf")
 
     @property
     def rack(self):
