--- a/packages/platform/src/samphiredeal/platform/memory_worker.py
+++ b/packages/platform/src/samphiredeal/platform/memory_worker.py
@@ -92,7 +92,7 @@
         clock = self.worker.clock
         self.began_at = clock.seconds()
         if not self.worker.faults.hang:
-            left_s = max(0.0, self.work.seconds - self.base_s)
+            left_s = max(0.0, self.work.seconds - self.base_s) / self.worker.speed
             how = runs.FAILED if self.worker.faults.fail_all else self.work.how
             self.timer = clock.callLater(left_s, self.end, how)
 
@@ -100,7 +100,8 @@
         """Return the seconds of work done, including those of earlier runs."""
         if self.began_at is None:
             return self.base_s
-        return self.base_s + self.worker.clock.seconds() - self.began_at
+        ran_s = self.worker.clock.seconds() - self.began_at
+        return self.base_s + ran_s * self.worker.speed
 
     def saved(self):
         """Return the latest checkpoint, or '' if there is none."""
@@ -126,11 +127,22 @@
     """A simulated worker.
 
     `describe(task)` returns the `Work` of a task. `watch(event, worker, task, run,
-    how)` is called for every ``start`` and ``end``.
+    how)` is called for every ``start`` and ``end``. Tasks take their time divided by
+    `speed`.
     """
 
-    def __init__(self, clock, facts, describe, gangs=None, lease_max_s=6.0, watch=None):
+    def __init__(
+        self,
+        clock,
+        facts,
+        describe,
+        gangs=None,
+        lease_max_s=6.0,
+        watch=None,
+        speed=1.0,
+    ):
         self.clock = clock
+        self.speed = speed
         self._born_at = clock.seconds()
         self.facts = facts
         self.faults = WorkerFaults()
@@ -169,6 +181,7 @@
             self.gangs,
             self._lease_max_s,
             self._watch,
+            self.speed,
         )
         # Their callers may poll the new incarnation at once.
         for polled in polls:
