Place work by the speeds of workers

What callers saw: urgent jobs and gangs ended late on slow workers while fast ones had room. Cause: a worker's cost did not depend on its speed, so names decided. Now a run costs the time that it takes there; victims are weighed by that time too; work that has time to spare leaves the fastest workers to urgent work, up to the headroom that is kept for it.

--- a/packages/policy/src/samphiredeal/policy/graphs/fitting.py
+++ b/packages/policy/src/samphiredeal/policy/graphs/fitting.py
@@ -13,6 +13,9 @@
 # Cost of capacity left unused on a worker, in run times. A tie-breaker that keeps
 # large free blocks for large members.
 _PACKING_WEIGHT = 0.15
+# Cost of taking a fast worker that is left to urgent work, in run times. Rather than a
+# worker of little more than half its speed, it is taken.
+_SPARED_COST = 0.3
 
 
 def is_allowed(state, unit, worker):
@@ -77,9 +80,9 @@
 
 
 def run_cost(unit, worker, far_factor):
-    """Return the cost of the worker in run times, from distance and failures."""
+    """Return the cost of the worker in run times, from distance, speed and failures."""
     far = unit.spec.data_rack and unit.spec.data_rack not in worker.labels
-    cost = far_factor if far else 1.0
+    cost = (far_factor if far else 1.0) / worker.speed
     cost += _FAILURE_COST * health.failure_score(worker)
     if worker.name in unit.failed_on:
         cost += _FAILURE_COST
@@ -110,19 +113,27 @@
     return unit.spec.gang and unit.spec.one_rack and unit.count > 1
 
 
-def find_places(unit, workers, available_on, far_factor, remote_allowed):
+def find_places(
+    unit, workers, available_on, far_factor, remote_allowed, spared=frozenset()
+):
     """Return places for the whole unit in free capacity, or None.
 
     `workers` are those allowed; `available_on(worker)` returns the capacity to use
-    there. Places where the unit takes longer are used only if `remote_allowed`.
+    there. Places where the unit takes longer are used only if `remote_allowed`. Those
+    on the workers named in `spared` are left to other work if that costs little.
     """
+
+    def cost_on(worker):
+        cost = run_cost(unit, worker, far_factor)
+        return cost + _SPARED_COST if worker.name in spared else cost
+
     best = None
     for group in preferred_groups(unit, workers):
-        found = _find_places_in(unit, group, available_on, far_factor)
+        found = _find_places_in(unit, group, available_on, cost_on)
         if found is not None and (best is None or found[0] < best[0]):
             best = found
     if best is None and remote_allowed:
-        best = _find_places_in(unit, workers, available_on, far_factor)
+        best = _find_places_in(unit, workers, available_on, cost_on)
     return best and best[1]
 
 
@@ -149,7 +160,7 @@
     return groups
 
 
-def _find_places_in(unit, workers, available_on, far_factor):
+def _find_places_in(unit, workers, available_on, cost_on):
     """Return (cost, places) within a group of workers, or None."""
     options = []
     for worker in workers:
@@ -158,7 +169,7 @@
         if copies:
             left = free.minus(unit.demand.times(copies))
             waste = left.dominant_share(worker.capacity)
-            cost = run_cost(unit, worker, far_factor) + _PACKING_WEIGHT * waste
+            cost = cost_on(worker) + _PACKING_WEIGHT * waste
             options.append((cost, worker.name, copies))
     options.sort()
     places, missing, worst = {}, unit.count, 0.0
--- a/packages/policy/src/samphiredeal/policy/graphs/reclaim.py
+++ b/packages/policy/src/samphiredeal/policy/graphs/reclaim.py
@@ -5,6 +5,8 @@
 all of it.
 """
 
+from typing import NamedTuple
+
 from samphiredeal.policy.graphs import fitting
 from samphiredeal.policy.graphs.state import LISTED, RESUME_COST_S
 
@@ -12,6 +14,9 @@
 _ACCELERATOR_CORES = 8
 # Preempting urgent work of an account beyond its guarantee is a last resort.
 _URGENT_COST_FACTOR = 10.0
+# Weight of the time that urgent work takes against work that is lost: in time it has
+# about this many times the value that it has when it is late.
+_URGENT_TIME_FACTOR = 3.0
 # Runs that have reached this percentage are about to free their capacity.
 _NEARLY_DONE_PERCENT = 90
 # How long work within its account's guarantee waits for them. Together with a stop and
@@ -118,8 +123,21 @@
     return ordered_at is not None and now - ordered_at > STOP_OVERDUE_S
 
 
+class Reclaim(NamedTuple):
+    """Places for a unit and the victims to stop for it.
+
+    `cost` is the work lost, `score` that and the time that the unit takes there, both
+    in core-seconds.
+    """
+
+    score: float
+    cost: float
+    places: dict
+    victims: list
+
+
 def find_victims(unit, workers, may_preempt, remote_allowed, now):
-    """Return (cost, places, victims) that let the whole unit start soon, or None.
+    """Return the `Reclaim` that lets the whole unit start soon at least cost, or None.
 
     `may_preempt(victim, chosen)` returns whether a unit may be stopped in addition to
     those already chosen. Places where the unit takes longer are used only if
@@ -128,7 +146,7 @@
     best = None
     for group in fitting.preferred_groups(unit, workers):
         found = _find_victims_in(unit, group, may_preempt, now)
-        if found is not None and (best is None or found[0] < best[0]):
+        if found is not None and (best is None or found.score < best.score):
             best = found
     if best is None and remote_allowed:
         best = _find_victims_in(unit, workers, may_preempt, now)
@@ -136,14 +154,14 @@
 
 
 def _find_victims_in(unit, workers, may_preempt, now):
-    """Return (cost, places, victims) within a group of workers, or None.
+    """Return the `Reclaim` within a group of workers, or None.
 
     Greedily adds the cheapest next member; units already chosen cost nothing more.
     """
     free_by_worker = {
         worker.name: _free_after_stops(unit, worker, now) for worker in workers
     }
-    places, victims, total = {}, {}, 0.0
+    places, victims, lost, slowness = {}, {}, 0.0, 0.0
     for _member in range(unit.count):
         best = None
         for worker in workers:
@@ -152,18 +170,31 @@
             option = _next_member(
                 unit, worker, free_by_worker, victims, may_preempt, now
             )
-            if option is not None and (best is None or option[0] < best[0]):
-                best = (*option, worker)
+            if option is None:
+                continue
+            cost, chosen = option
+            extra = _slowness_cost(unit, worker)
+            if best is None or cost + extra < sum(best[:2]):
+                best = (cost, extra, chosen, worker)
         if best is None:
             return None
-        cost, chosen, worker = best
+        cost, extra, chosen, worker = best
         for victim in chosen:
             _release(victim, free_by_worker)
             victims[id(victim)] = victim
         free_by_worker[worker.name] = free_by_worker[worker.name].minus(unit.demand)
         places[worker.name] = places.get(worker.name, 0) + 1
-        total += cost
-    return total, places, list(victims.values())
+        lost += cost
+        # A gang takes as long as its slowest member.
+        slowness = max(slowness, extra)
+    score = lost + slowness * unit.count
+    return Reclaim(score, lost, places, list(victims.values()))
+
+
+def _slowness_cost(unit, worker):
+    """Return the cost of the time that a member takes on the worker."""
+    run_s = unit.estimate_s * fitting.run_cost(unit, worker, 1.0)
+    return _URGENT_TIME_FACTOR * member_cores(unit) * run_s
 
 
 def _free_after_stops(unit, worker, now):
@@ -193,7 +224,7 @@
         chosen.append(victim)
         cost += _victim_cost(victim, now)
     if unit.demand.fits(free):
-        return cost + fitting.run_cost(unit, worker, 1.0) * 1e-3, chosen
+        return cost, chosen
     for victim in sorted(candidates, key=lambda one: _victim_cost(one, now)):
         freed = [p for p in victim.placements.values() if p.worker == worker.name]
         if victim in chosen or not any(
--- a/packages/policy/src/samphiredeal/policy/graphs/scheduler.py
+++ b/packages/policy/src/samphiredeal/policy/graphs/scheduler.py
@@ -17,7 +17,7 @@
     waiting,
 )
 from samphiredeal.policy.graphs import reports as reporting
-from samphiredeal.policy.graphs.headroom import Headroom
+from samphiredeal.policy.graphs.headroom import Headroom, fastest_workers
 from samphiredeal.policy.graphs.speeds import WorkerSpeeds
 from samphiredeal.policy.graphs.state import (
     CANCELLED,
@@ -480,8 +480,11 @@
         remote_allowed = waiting.may_run_remotely(
             unit, workers, covered, self._far_factor, now
         )
+        spared = set()
+        if waiting.has_slack(unit, context):
+            spared = fastest_workers(workers, self._headroom.share(now))
         places = fitting.find_places(
-            unit, workers, available_on, self._far_factor, remote_allowed
+            unit, workers, available_on, self._far_factor, remote_allowed, spared
         )
         if places is None:
             constrained = fitting.is_constrained(unit) and not remote_allowed
@@ -596,13 +599,13 @@
         found = reclaim.find_victims(unit, workers, rule, remote_allowed, now)
         if found is None:
             return
-        cost, places, victims = found
         # Lasting work is worth more than any estimate of its duration.
         is_bounded = not covered and not unit.spec.lasting
-        if is_bounded and cost > _URGENT_LOSS_FACTOR * reclaim.required_core_s(unit):
+        limit = _URGENT_LOSS_FACTOR * reclaim.required_core_s(unit)
+        if is_bounded and found.cost > limit:
             return
-        self._claim(unit, places)
-        for victim in victims:
+        self._claim(unit, found.places)
+        for victim in found.victims:
             self._stop(victim, f"its room is reclaimed for job {unit.job.id}")
 
 
--- a/packages/policy/src/samphiredeal/policy/graphs/waiting.py
+++ b/packages/policy/src/samphiredeal/policy/graphs/waiting.py
@@ -39,14 +39,20 @@
     return waited_s > _IDLE_WAIT_MAX_S and _are_idle(workers, unit)
 
 
+def has_slack(unit, context):
+    """Return whether a unit can leave the best capacity to urgent work."""
+    if unit.job.urgent or unit.spec.lasting:
+        return False
+    slack_s = _HEADROOM_SLACK_SHARE * unit.estimate_s
+    return ordering.latest_start_s(unit, context) >= slack_s
+
+
 def must_leave_headroom(unit, workers, headroom_share, now, context):
     """Return whether a unit must wait to leave headroom for future urgent work.
 
     `headroom_share` of the capacity is kept free while the unit can still end in time.
     """
-    if unit.job.urgent or unit.spec.lasting:
-        return False
-    if ordering.latest_start_s(unit, context) < _HEADROOM_SLACK_SHARE * unit.estimate_s:
+    if not has_slack(unit, context):
         return False
     used, total = fitting.capacity_of(workers)
     used = used.plus(unit.demand.times(unit.count))
