Store what is believed of the workers' speeds

A new scheduler knew nothing of its workers after a takeover or a loss of all VMs, though they keep their speeds.

--- a/packages/entry/src/samphiredeal/entry/graphs/dispatcher.py
+++ b/packages/entry/src/samphiredeal/entry/graphs/dispatcher.py
@@ -4,6 +4,8 @@
 completion is acknowledged to the worker only after the progress is stored.
 """
 
+from itertools import islice
+
 from eliot import log_message
 from twisted.internet.defer import ensureDeferred
 from twisted.internet.task import deferLater
@@ -14,6 +16,7 @@
 from samphiredeal.platform.table import (
     Committed,
     Conflict,
+    Put,
     Unavailable,
     within,
 )
@@ -42,6 +45,10 @@
 # How long a new scheduler waits for the reports of all workers before it places
 # anything, so that it can choose among all of them.
 _REPORT_WAIT_S = 0.25
+# The condition on the epoch, and the heartbeat.
+_OWN_OPERATIONS = 2
+# Their bytes fit beside the heartbeat into what a batch leaves of a write.
+_MAX_SPEEDS_PER_WRITE = 20
 # Steps of a job that are described in the log.
 _LOGGED_STEPS = 12
 # How often new checkpoints of running work are stored, so that they survive the loss of
@@ -107,7 +114,10 @@
         for job_id in view.cancels:
             scheduler.cancel_job(job_id, now)
         for name, stored in view.workers.items():
+            is_new = name not in scheduler.workers
             scheduler.add_worker(name, stored.value.zone)
+            if is_new and name in view.speeds:
+                scheduler.restore_speed(name, view.speeds[name].value.belief)
         self._sessions.set_workers(view.workers)
         operations = self._host.operations
         scheduler.zones_out = operations.zones_out
@@ -233,7 +243,9 @@
             return
         completions = self._sessions.last_completions() if batch.is_all else {}
         conditions = [self._leadership.condition, *batch.conditions]
-        puts = [*batch.puts, self._leadership.next_heartbeat()]
+        speeds = self._speeds_to_store(batch)
+        puts = [*batch.puts, *map(_speed_put, speeds.items())]
+        puts.append(self._leadership.next_heartbeat())
         began_at = self._clock.seconds()
         write_answer = self._table.write(conditions, puts, batch.deletes)
         answer = await within(self._clock, self._write_timeout_s, write_answer)
@@ -249,6 +261,7 @@
             return
         if isinstance(answer, Committed):
             self._progress_store.committed(batch, answer.versions)
+            self._scheduler.speeds.mark_stored(speeds)
             for placement in batch.placements:
                 placement.committed = True
             self._leadership.heartbeat_stored(began_at)
@@ -260,6 +273,18 @@
             self._handle_failed_write(answer)
         self.schedule_round()
 
+    def _speeds_to_store(self, batch):
+        """Return the changed beliefs on workers' speeds that fit into a write.
+
+        They need no write of their own, and must not keep progress from being stored.
+        """
+        if not batch.is_all:
+            return {}
+        taken = len(batch.conditions) + len(batch.puts) + len(batch.deletes)
+        room = self._host.table.limits.operations - _OWN_OPERATIONS - taken
+        changed = self._scheduler.speeds.changed()
+        return dict(islice(changed.items(), max(0, min(room, _MAX_SPEEDS_PER_WRITE))))
+
     async def _handle_rejected_write(self, batch, answer):
         """Find the job whose rows the store rejects, and end it.
 
@@ -387,5 +412,11 @@
             deleted.addErrback(_log_failed_deletion)
 
 
+def _speed_put(item):
+    name, belief = item
+    record = records.speed_record(belief)
+    return Put(work.speed_key(name), records.encode(record))
+
+
 def _log_failed_deletion(failure):
     log_message(message_type="deletion_failed", reason=failure.getTraceback())
--- a/packages/entry/src/samphiredeal/entry/graphs/sessions.py
+++ b/packages/entry/src/samphiredeal/entry/graphs/sessions.py
@@ -398,7 +398,12 @@
         self._close_link(session)
         del self._sessions[session.name]
         self._dispatcher.scheduler.remove_worker(session.name)
-        key_functions = (work.worker_key, work.evicted_key, work.place_key)
+        key_functions = (
+            work.worker_key,
+            work.evicted_key,
+            work.place_key,
+            work.speed_key,
+        )
         keys = [key_of(session.name) for key_of in key_functions]
         # The agent may come back while the deletion is on its way.
         place = Condition(work.place_key(session.name), session.place_version)
--- a/packages/entry/src/samphiredeal/entry/graphs/work.py
+++ b/packages/entry/src/samphiredeal/entry/graphs/work.py
@@ -7,6 +7,7 @@
 scheduler, ``beat`` is its heartbeat, ``worker/NAME`` announces an agent and
 ``evicted/NAME`` makes it stop extending its leases; ``place/NAME`` is the address to
 which the scheduler sends its starts; ``entry/NAME`` announces an entry to the others.
+``speed/NAME`` is what the scheduler believes of the speed of an agent's worker.
 """
 
 from typing import NamedTuple
@@ -30,6 +31,7 @@
 _EVICTED = "evicted/"
 _PLACE = "place/"
 _ENTRY = "entry/"
+_SPEED = "speed/"
 
 
 def job_key(job_id):
@@ -72,6 +74,11 @@
     return _ENTRY + name
 
 
+def speed_key(name):
+    """Return the key of the belief on the speed of an agent's worker."""
+    return _SPEED + name
+
+
 class EpochRecord(NamedTuple):
     """The holder of the scheduler role; `nonce` distinguishes takeover attempts."""
 
@@ -133,6 +140,7 @@
     _WORKER: WorkerRecord,
     _PLACE: PlaceRecord,
     _ENTRY: EntryRecord,
+    _SPEED: records.SpeedRecord,
 }
 
 
@@ -151,6 +159,7 @@
         self.evicted = {}
         self.places = {}
         self.entries = {}
+        self.speeds = {}
         self.epoch = Versioned(EpochRecord(0, "", ""), 0)
         self.beat = Versioned(HeartbeatRecord(0, 0), 0)
         self.heartbeat_seen_at = clock.seconds()
@@ -165,6 +174,7 @@
             _EVICTED: self.evicted,
             _PLACE: self.places,
             _ENTRY: self.entries,
+            _SPEED: self.speeds,
         }
 
     def on_rows(self, rows, is_snapshot):
--- a/packages/policy/src/samphiredeal/policy/graphs/records.py
+++ b/packages/policy/src/samphiredeal/policy/graphs/records.py
@@ -11,6 +11,7 @@
 from samphiredeal.model import untrusted
 from samphiredeal.model.compact import without_trailing_defaults
 from samphiredeal.model.graph import JobRecord, validation_error
+from samphiredeal.policy.graphs.speeds import Belief
 from samphiredeal.policy.graphs.state import (
     FINAL_STATES,
     LISTED,
@@ -65,6 +66,31 @@
     units: dict[str, UnitRecord] = {}
 
 
+class SpeedRecord(NamedTuple):
+    """What is believed of a worker's speed; see `speeds.Belief`.
+
+    `log_speed_milli` is the logarithm in thousandths, `precision` is rounded.
+    """
+
+    log_speed_milli: Annotated[int, msgspec.Meta(ge=-3000, le=3000)] = 0
+    precision: Count = 0
+
+    @property
+    def belief(self):
+        """The `Belief` that was stored."""
+        return Belief(self.log_speed_milli / 1000, max(1.0, float(self.precision)))
+
+
+def speed_record(belief):
+    """Return the `SpeedRecord` of a `Belief`.
+
+    >>> speed_record(Belief(0.1234, 80.4))
+    SpeedRecord(log_speed_milli=123, precision=80)
+    """
+    milli = round(min(3.0, max(-3.0, belief.log_speed)) * 1000)
+    return SpeedRecord(milli, round(belief.precision))
+
+
 def encode(record):
     """Return a record encoded as JSON bytes."""
     return msgspec.json.encode(without_trailing_defaults(record))
--- a/packages/policy/src/samphiredeal/policy/graphs/scheduler.py
+++ b/packages/policy/src/samphiredeal/policy/graphs/scheduler.py
@@ -135,6 +135,7 @@
         worker = self.workers.get(name)
         if worker is not None and not worker.placements:
             del self.workers[name]
+            self.speeds.forget_worker(name)
             self._found_units = None
 
     def apply_report(self, worker_name, report, now):
