--- a/packages/entry/src/samphiredeal/entry/graphs/sessions.py
+++ b/packages/entry/src/samphiredeal/entry/graphs/sessions.py
@@ -39,8 +39,9 @@
     def __init__(self, name, address, now):
         self.name = name
         self.address = address
-        # Where the agent is by its row, if it is not at `address`.
+        # Where the agent is by its row, if it is not at `address`; the row's version.
         self.announced_address = address
+        self.announced_version = 0
         # Whether the store has `address`, for the next scheduler, and in which version
         # of the row.
         self.is_place_stored = False
@@ -98,7 +99,12 @@
                     session.place_version = place.version
                 self._sessions[name] = session
                 self._connect(session)
+            elif stored.version != session.announced_version and session.link is None:
+                # It listens now. An earlier attempt may have been refused, or hang.
+                session.connecting = False
+                self._connect(session)
             session.announced_address = stored.value.address
+            session.announced_version = stored.version
         self._store_places()
 
     def close(self):
--- a/tests/test_uneven_workers.py
+++ b/tests/test_uneven_workers.py
@@ -7,8 +7,10 @@
 import pytest
 from graph_world import make_graph_world
 
+from samphiredeal.model import answers
+
 SPEEDS = {"w0": 0.7, "w1": 0.7, "w2": 1.3, "w3": 1.3}
-FAST = {"w2", "w3"}
+SLOW, FAST = {"w0", "w1"}, {"w2", "w3"}
 # Each task fills a worker.
 WHOLE = {"cpu": 8000, "mem-mb": 8000, "gpu": 8, "estimated-ms": 6000}
 SMALL = {"count": 1, "cpu": 1000, "mem-mb": 1000, "gpu": 1, "estimated-ms": 3000}
@@ -82,12 +84,19 @@
 # the workers that reported first, and ended after the day.
 def test_slow_worker_that_reports_first_after_a_loss_of_all_gets_no_long_work():
     world = make_uneven_world()
-    world.submit("e0", "b1", [{**WHOLE, "count": 2, "estimated-ms": 20_000}])
-    world.run(3.0)
+    long_step = {**WHOLE, "count": 2, "estimated-ms": 20_000}
+    world.submit("e0", "c1", [long_step])
+    world.submit("e0", "b1", [long_step])
+    world.run(2.0)
+    assert {worker_of(world, f"b1.0.0.{index}") for index in (0, 1)} == SLOW
+    world.wait_for_answer(world.call("e0", answers.CANCEL, "/normal/c1"))
+    world.run(1.0)
     lose_all(world)
     world.run(1.0)
     return_entries(world)
     world.run_until(world.scheduler, 5.0)
+    # VMs of workers start more slowly than those of entries.
+    world.run(0.4)
     lost_at = world.clock.seconds()
     for name in ("w0", "w1"):
         return_worker(world, name)
