Ask refused callers to retry within their time

In an outage of the store Retry-After was its length so far: a caller with 3.00 s left was told 4.0 s, so one that keeps to it never came back. It is now at most what the caller has left, less 0.3 s for the try, and the header is rounded down.

--- a/packages/entry/src/samphiredeal/entry/graphs/call_handler.py
+++ b/packages/entry/src/samphiredeal/entry/graphs/call_handler.py
@@ -36,9 +36,11 @@
 _COMPLETION_WRITE_S = 0.25
 # Bounds of the delay after which a refused caller should retry. The delay is the
 # present length of the outage: short ones cost little time, and a few tries outlast
-# a long one.
+# a long one. Callers get it in whole seconds, so there is no shorter one.
 _RETRY_AFTER_MIN_S = 1.0
 _RETRY_AFTER_MAX_S = 4.0
+# What a caller's last try needs of its time.
+_LAST_TRY_S = 0.3
 
 
 class CallHandler:
@@ -93,6 +95,7 @@
             answer = self._in_doubt.correct(call, answer)
         finally:
             self._in_flight -= 1
+        answer = self._within_time(answer, call, began_at)
         self._log_answer(call, answer, began_at)
         return answer
 
@@ -132,6 +135,15 @@
         spent_s = self._clock.seconds() - began_at
         return call._replace(wait_s=max(0.0, call.wait_s - spent_s))
 
+    def _within_time(self, answer, call, began_at):
+        """Return an answer that asks its caller to retry before its deadline."""
+        if not answer.retry_after_s:
+            return answer
+        left_s = self._with_remaining_time(call, began_at).wait_s
+        latest_s = max(_RETRY_AFTER_MIN_S, left_s - _LAST_TRY_S)
+        delay_s = min(answer.retry_after_s, latest_s)
+        return answer._replace(retry_after_s=delay_s)
+
     async def _wait_for_probe(self, call, began_at):
         """Wait for one more probe of the store if the caller is about to give up.
 
--- a/packages/platform/src/samphiredeal/platform/service_http.py
+++ b/packages/platform/src/samphiredeal/platform/service_http.py
@@ -78,7 +78,8 @@
         request.setResponseCode(_STATUS[answer.kind])
         request.setHeader("content-type", "application/json")
         if answer.retry_after_s:
-            request.setHeader("retry-after", str(max(1, round(answer.retry_after_s))))
+            # Rounded down: a caller's deadline may lie within the second.
+            request.setHeader("retry-after", str(max(1, int(answer.retry_after_s))))
         if self._is_stopping():
             request.setHeader("connection", "close")
         request.write(_body(answer))
