--- a/packages/entry/src/samphiredeal/entry/graphs/dispatcher.py
+++ b/packages/entry/src/samphiredeal/entry/graphs/dispatcher.py
@@ -69,6 +69,7 @@
         self._sessions = Sessions(host, leadership, self)
         self._progress_store = ProgressStore(host.table.limits)
         self._completions_logged = set()
+        self._workers_seen = set()
         self._started_at = self._clock.seconds()
         self._round = None
         self._committing = False
@@ -114,10 +115,11 @@
         for job_id in view.cancels:
             scheduler.cancel_job(job_id, now)
         for name, stored in view.workers.items():
-            is_new = name not in scheduler.workers
             scheduler.add_worker(name, stored.value.zone)
-            if is_new and name in view.speeds:
+            if name not in self._workers_seen and name in view.speeds:
                 scheduler.restore_speed(name, view.speeds[name].value.belief)
+        # Rows that this scheduler writes later tell it nothing.
+        self._workers_seen.update(view.workers)
         self._sessions.set_workers(view.workers)
         operations = self._host.operations
         scheduler.zones_out = operations.zones_out
--- a/tests/test_uneven_workers.py
+++ b/tests/test_uneven_workers.py
@@ -68,6 +68,18 @@
     assert worker_of(world, "b1.0.0.0") in FAST
 
 
+# Workers with placements are known from the rows of their jobs, before their own rows.
+def test_speeds_of_busy_workers_outlast_a_takeover():
+    world = make_uneven_world()
+    half = {**WHOLE, "cpu": 4000, "mem-mb": 4000, "gpu": 4, "estimated-ms": 20_000}
+    world.submit("e0", "c1", [{**half, "count": 4, "anti-affinity": 1}])
+    world.run(1.0)
+    world.kill(world.scheduler())
+    world.run_until(world.scheduler, 5.0)
+    world.submit(world.scheduler(), "b1", [SMALL], "/urgent/")
+    assert worker_of(world, "b1.0.0.0") in FAST
+
+
 def test_speeds_outlast_a_loss_of_all_vms():
     world = make_uneven_world()
     lose_all(world)
