Leave the fastest workers only for average ones

Work with time to spare went to slow workers rather than to those that are left to urgent work, since speeds are believed to be nearer to the average than they are. A worker that is left to urgent work now counts as a little slower than an average one.

--- a/packages/policy/src/samphiredeal/policy/graphs/fitting.py
+++ b/packages/policy/src/samphiredeal/policy/graphs/fitting.py
@@ -13,9 +13,9 @@
 # Cost of capacity left unused on a worker, in run times. A tie-breaker that keeps
 # large free blocks for large members.
 _PACKING_WEIGHT = 0.15
-# Cost of taking a fast worker that is left to urgent work, in run times. Rather than a
-# worker of little more than half its speed, it is taken.
-_SPARED_COST = 0.3
+# Speed at which a fast worker that is left to urgent work counts for other work: an
+# average worker is taken instead, but not a slow one.
+_SPARED_SPEED = 0.9
 
 
 def is_allowed(state, unit, worker):
@@ -125,7 +125,9 @@
 
     def cost_on(worker):
         cost = run_cost(unit, worker, far_factor)
-        return cost + _SPARED_COST if worker.name in spared else cost
+        if worker.name in spared:
+            cost += 1 / _SPARED_SPEED - 1 / worker.speed
+        return cost
 
     best = None
     for group in preferred_groups(unit, workers):
--- a/packages/policy/tests/test_uneven_speeds.py
+++ b/packages/policy/tests/test_uneven_speeds.py
@@ -54,6 +54,14 @@
     assert places_of(scheduler, "n1") != ["w0"]
 
 
+def test_work_with_time_to_spare_takes_a_fast_worker_rather_than_a_slow_one():
+    scheduler = make_uneven_scheduler({"w0": 0.12, "w1": -0.15})
+    start_urgent(scheduler, "u1", 0.0, accelerators=2)
+    scheduler.add_job(make_record("n1", [make_step(estimate_ms=20_000)]), None, 1.0)
+    scheduler.plan(1.0, 1000)
+    assert places_of(scheduler, "n1") == ["w0"]
+
+
 def test_work_without_time_to_spare_takes_the_fast_worker():
     scheduler = make_uneven_scheduler({"w0": 0.0, "w1": 0.22, "w2": 0.0})
     start_urgent(scheduler, "u1", 0.0, accelerators=2)
