--- a/packages/agent/src/samphiredeal/agent/drivers.py
+++ b/packages/agent/src/samphiredeal/agent/drivers.py
@@ -3,6 +3,7 @@
 from io import BytesIO
 
 import msgspec
+from eliot import log_message
 from twisted.internet.defer import ensureDeferred
 from twisted.internet.error import ConnectError, ConnectionRefusedError
 from twisted.internet.task import LoopingCall, deferLater
@@ -68,29 +69,47 @@
         self._poll_loop.start(POLL_INTERVAL_S, now=False)
 
     async def start(self, attempt_id, job, count):
-        """Start the members of an attempt as one task of the runtime."""
+        """Start the members of an attempt as one task of the runtime.
+
+        A start that fails without a refusal may have taken effect, so it is reported
+        as failed only once the task is stopped or its lease has expired.
+        """
         body = {"job": job, "count": count, "lease_s": TASK_LEASE_S}
-        status, text = await self._call(b"PUT", f"/tasks/{attempt_id}", body)
-        if status != 200:
-            raise RuntimeError(
-                f"worker runtime returned status {status}: {text[:100]!r}"
-            )
-        self._running.add(attempt_id)
+        try:
+            status, text = await self._call(b"PUT", f"/tasks/{attempt_id}", body)
+        except Exception as error:
+            _log_unsettled_call("start", attempt_id, error)
+            await self.stop(attempt_id, False, 0.0)
+            raise
+        if status == 200:
+            self._running.add(attempt_id)
+            return
+        error = RuntimeError(f"worker runtime returned status {status}: {text[:100]!r}")
+        if status >= 500:
+            _log_unsettled_call("start", attempt_id, error)
+            await self.stop(attempt_id, False, 0.0)
+        raise error
 
     async def stop(self, attempt_id, checkpoint, grace_s):
-        """Stop a task; return the seconds of work that its checkpoint preserves."""
+        """Stop a task; return the seconds of work that its checkpoint preserves.
+
+        If the runtime does not confirm the stop, the task ends when its lease, no
+        longer renewed, expires.
+        """
         self._running.discard(attempt_id)
         body = {"checkpoint": checkpoint, "grace_s": grace_s}
         try:
             status, text = await self._call(
                 b"POST", f"/tasks/{attempt_id}/stop", body, grace_s + _CALL_TIMEOUT_S
             )
-        except Exception:
-            # The runtime is unreachable; the task ends when its lease, no longer
-            # renewed, expires.
-            await deferLater(self._reactor, TASK_LEASE_S)
-            return 0.0
-        return msgspec.json.decode(text)["kept_s"] if status == 200 else 0.0
+            if status == 200:
+                return msgspec.json.decode(text)["kept_s"]
+            error = RuntimeError(f"status {status}")
+        except Exception as failure:
+            error = failure
+        _log_unsettled_call("stop", attempt_id, error)
+        await deferLater(self._reactor, TASK_LEASE_S)
+        return 0.0
 
     async def reset(self):
         """Stop all tasks left running by a previous agent process."""
@@ -120,3 +139,13 @@
 
     def _call(self, method, path, body, timeout_s=_CALL_TIMEOUT_S):
         return self._caller.call(method, path, msgspec.json.encode(body), timeout_s)
+
+
+def _log_unsettled_call(verb, attempt_id, error):
+    """Log a call of which it is unknown whether it took effect."""
+    log_message(
+        message_type="runtime_call_unsettled",
+        verb=verb,
+        attempt=attempt_id,
+        reason=f"{type(error).__name__}: {error}"[:200],
+    )
