--- a/bench/bound.py
+++ b/bench/bound.py
@@ -24,10 +24,13 @@
 import defopt
 
 from bench.late import Day, parse_log
+from samphiredeal.model import answers
 from samphiredeal.policy.graphs.speeds import Sample, WorkerSpeeds
 
 # Sweeps over all workers in which the beliefs on their speeds settle.
 _SWEEPS = 10
+# Answers to callers who have no right to be served.
+_REJECTIONS = (answers.UNKNOWN_KEY, answers.MALFORMED, answers.NO_QUEUE)
 # No VM is up if nothing is logged for at least this long, and then only starts are.
 _DARK_MIN_S = 0.4
 _STARTS = {"entry_started", "agent_started"}
@@ -156,10 +159,17 @@
         # Times at which agents logged a worker's incarnation, and when it was born.
         self._births = []
         self.seen = {}
+        # Jobs that are not to be served, by an answer to their caller.
+        self.rejected = set()
         self._ends_at = max((at for at, _node, _fields in events), default=0.0)
         super().__init__(events)
         self.dark_spans = self._find_dark_spans(events)
 
+    def _on_call_answered(self, at, node, fields):
+        super()._on_call_answered(at, node, fields)
+        if fields["answer"] in _REJECTIONS:
+            self.rejected.add(fields["path"].rsplit("/", 1)[-1])
+
     def _on_worker_life(self, at, node, fields):
         born_at = int(fields["life"].rsplit("/", 1)[1]) / 1000
         self._births.append((at, born_at - fields["timestamp"] + at))
@@ -263,7 +273,7 @@
 def verdict(job_id, day, run_times):
     """Return a line on a job that was not served in time, or None if it was."""
     job = day.jobs[job_id]
-    if not job.attempts:
+    if not job.attempts or job_id in day.rejected:
         return None
     bound = bound_of(job_id, day, run_times)
     if not job.is_served:
--- a/tests/test_bounds.py
+++ b/tests/test_bounds.py
@@ -81,6 +81,11 @@
     assert judge(*store_unresponsive(18, 22.2), *refused).startswith("refused: ours")
 
 
+def test_caller_whose_key_was_withdrawn_meanwhile_is_owed_nothing():
+    refused = [answered(20.0, "not-done"), answered(22.5, "unknown-key")]
+    assert judge(*store_unresponsive(18, 22.2), *refused) is None
+
+
 @pytest.mark.parametrize(
     "at, checkpointing, ended_at",
     [(1.0, False, 5.0), (5.0, False, 13.0), (5.0, True, 10.0), (8.5, False, 13.0)],
