--- a/bench/bound.py
+++ b/bench/bound.py
@@ -31,6 +31,9 @@
 _SWEEPS = 10
 # Answers to callers who have no right to be served.
 _REJECTIONS = (answers.UNKNOWN_KEY, answers.MALFORMED, answers.NO_QUEUE)
+# An entry that reaches the store for so long can store a job. Resolution of the search.
+_STORE_WINDOW_S = 0.051
+_STORE_STEP_S = 0.005
 # No VM is up if nothing is logged for at least this long, and then only starts are.
 _DARK_MIN_S = 0.4
 _STARTS = {"entry_started", "agent_started"}
@@ -208,11 +211,11 @@
 
     def earliest_store(self, begin, end):
         """Return the first time at which an entry could store a job, or None."""
-        step_s, at = 0.01, begin
+        at = begin
         while at < end:
-            if self.could_store(at, min(end, at + 0.1)):
+            if self.could_store(at, min(end, at + _STORE_WINDOW_S)):
                 return at
-            at += step_s
+            at += _STORE_STEP_S
         return None
 
 
@@ -243,10 +246,9 @@
     job = day.jobs[job_id]
     steps = run_times.steps.get(job_id)
     begun_at = job.submitted_at
-    if job.is_served:
-        stored_at = begun_at
-    else:
-        stored_at = day.earliest_store(begun_at, job.caller_deadline)
+    accepted_at = job.accepted_at
+    until = job.caller_deadline if accepted_at is None else accepted_at
+    stored_at = day.earliest_store(begun_at, until) or accepted_at
     if stored_at is None:
         return Bound(float("inf"), 0.0, True)
     if steps is None or job_id not in day.seen:
--- a/bench/late.py
+++ b/bench/late.py
@@ -62,6 +62,12 @@
             kind == "accepted" for *_, kind in self.attempts
         )
 
+    @property
+    def accepted_at(self):
+        """Time of the first attempt that was accepted, or None."""
+        accepted = [at for at, _, kind in self.attempts if kind == "accepted"]
+        return min(accepted, default=None)
+
     @property
     def submitted_at(self):
         """Time of the caller's first attempt to submit the job."""
--- a/tests/test_bounds.py
+++ b/tests/test_bounds.py
@@ -71,6 +71,13 @@
     assert "possible after 8.00 s, objective 12.25 s" in line
 
 
+def test_late_job_of_an_outage_begins_at_the_return_of_the_store():
+    outage = store_unresponsive(3.0, 6.0)
+    refused = answered(4.0, "not-done")
+    line = judge(*outage, refused, *job_events(read_at=14.0, at=7.0))
+    assert "possible after 6.00 s" in line
+
+
 def test_refused_job_is_nobodys_if_no_entry_could_store_it():
     outage = store_unresponsive(18, 22.2)
     assert judge(*outage, answered(19.0, "not-done")).startswith("refused: nobody's")
