--- a/packages/policy/src/samphiredeal/policy/graphs/headroom.py
+++ b/packages/policy/src/samphiredeal/policy/graphs/headroom.py
@@ -46,10 +46,13 @@
     Workers that are hardly faster than an average one are left out.
     """
     names, reserved, total = set(), NOTHING, NOTHING
+    fast = [worker for worker in workers if worker.speed >= _FAST]
+    if not fast or not share:
+        return names
     for worker in workers:
         total = total.plus(worker.capacity)
-    for worker in sorted(workers, key=lambda one: (-one.speed, one.name)):
-        if worker.speed < _FAST or reserved.dominant_share(total) >= share:
+    for worker in sorted(fast, key=lambda one: (-one.speed, one.name)):
+        if reserved.dominant_share(total) >= share:
             break
         names.add(worker.name)
         reserved = reserved.plus(worker.capacity)
