--- a/bench/bound.py
+++ b/bench/bound.py
@@ -92,6 +92,8 @@
         for at, _node, fields in events:
             kind = fields.get("message_type")
             if kind == "job_seen" and fields["job"] not in self.steps:
+                if "steps" not in fields:
+                    raise ValueError("the log is of an earlier build, without steps")
                 self.steps[fields["job"]] = [
                     Step(estimate_s, count, checkpointing, tuple(after))
                     for estimate_s, count, checkpointing, after in fields["steps"]
