--- a/packages/policy/src/samphiredeal/policy/graphs/measuring.py
+++ b/packages/policy/src/samphiredeal/policy/graphs/measuring.py
@@ -9,8 +9,8 @@
 _REFRESH_INTERVAL_S = 1.0
 _PRECISE_REFRESH_INTERVAL_S = 4.0
 _PRECISE = 140.0
-# Workers that are looked at in a second, and at once after a pause. Bounds the cost in
-# a large system, where each is looked at less often.
+# Beliefs that are updated in a second, and at once after a pause. Bounds the cost in a
+# large system, where each is updated less often.
 _REFRESHES_PER_S = 50.0
 # A change of a speed by this share is logged.
 _LOGGED_CHANGE = 0.05
@@ -61,14 +61,14 @@
 
 
 class RefreshLimit:
-    """Bounds how many workers are looked at, by a token bucket."""
+    """Bounds how many beliefs are updated, by a token bucket."""
 
     def __init__(self):
         self._tokens = _REFRESHES_PER_S
         self._filled_at = 0.0
 
     def select(self, workers, now):
-        """Return the workers to look at now, those that have waited longest first."""
+        """Return the workers to update now, those that have waited longest first."""
         due = [one for one in workers if one.placements and now >= one.speed_due_at]
         added = (now - self._filled_at) * _REFRESHES_PER_S
         self._tokens = min(_REFRESHES_PER_S, self._tokens + added)
@@ -81,7 +81,7 @@
 
 
 def refresh(speeds, worker, now):
-    """Update the belief on a worker; return fields to log, or None."""
+    """Update the belief on a worker; return fields to log if it has changed, or None."""
     for placement in worker.placements.values():
         record_run(speeds, placement, worker)
     belief = speeds.refresh(worker.name)
--- a/packages/policy/tests/test_speeds.py
+++ b/packages/policy/tests/test_speeds.py
@@ -137,20 +137,20 @@
     assert {note.fields["worker"] for note in notes} == {"slow", "fast"}
 
 
-# With a thousand workers each look at all of them would cost a tenth of a second.
-def test_workers_are_looked_at_in_turn_within_a_bound():
+# With a thousand workers an update of all of them would cost a tenth of a second.
+def test_workers_are_updated_in_turn_within_a_bound():
     scheduler = make_scheduler({f"w{n}": make_facts(f"w{n}") for n in range(120)})
     step = make_step(120, accelerators=8, estimate_ms=60_000)
     scheduler.add_job(make_record(steps=[step]), None, 0.0)
     scheduler.plan(0.0, 0)
-    limit, now, looked = measuring.RefreshLimit(), 100.0, []
+    limit, now, updated = measuring.RefreshLimit(), 100.0, []
     while now < 103.0:
-        looked += limit.select(scheduler.workers.values(), now)
-        for worker in looked[-60:]:
+        updated += limit.select(scheduler.workers.values(), now)
+        for worker in updated[-60:]:
             worker.speed_due_at = max(worker.speed_due_at, now + 1.0)
         now += 0.1
-    assert {worker.name for worker in looked} == set(scheduler.workers)
-    assert len(looked) <= 200
+    assert {worker.name for worker in updated} == set(scheduler.workers)
+    assert len(updated) <= 200
 
 
 # The members of a gang report the progress of the slowest one.
