--- a/packages/policy/src/samphiredeal/policy/graphs/measuring.py
+++ b/packages/policy/src/samphiredeal/policy/graphs/measuring.py
@@ -81,7 +81,7 @@
 
 
 def refresh(speeds, worker, now):
-    """Update the belief on a worker; return fields to log if it has changed, or None."""
+    """Update the belief on a worker; return what to log of it, or None."""
     for placement in worker.placements.values():
         record_run(speeds, placement, worker)
     belief = speeds.refresh(worker.name)
