--- a/packages/entry/src/samphiredeal/entry/graphs/dispatcher.py
+++ b/packages/entry/src/samphiredeal/entry/graphs/dispatcher.py
@@ -47,7 +47,7 @@
 _REPORT_WAIT_S = 0.25
 # The condition on the epoch, and the heartbeat.
 _OWN_OPERATIONS = 2
-# Their bytes fit beside the heartbeat into what a batch leaves of a write.
+# Beliefs on speeds in one write. With the heartbeat they fit beside a full batch.
 _MAX_SPEEDS_PER_WRITE = 20
 # Steps of a job that are described in the log.
 _LOGGED_STEPS = 12
