Ask a store that has not answered of late before writing to it

A read has no effect, so an entry that has heard nothing for 0.1 s (or, from a slow store, for longer than it took last) sends one first, and refuses truly with 503 if it is not answered. A call in doubt waits for the return without writing into the silence.

--- a/packages/entry/src/samphiredeal/entry/graphs/follower.py
+++ b/packages/entry/src/samphiredeal/entry/graphs/follower.py
@@ -41,6 +41,7 @@
         self._version = None
         self._confirmed_at = None
         self._last_response_at = None
+        self._response_delay_s = 0.0
         self._store_clock = None
         self._running = False
         self._failing = False
@@ -83,6 +84,16 @@
             return float("inf")
         return self._clock.seconds() - self._last_response_at
 
+    @property
+    def response_delay_s(self):
+        """How long the store took for its last response, beyond the long poll."""
+        return self._response_delay_s
+
+    @property
+    def wait_s(self):
+        """The long-poll time of a call for changes."""
+        return self._wait_s
+
     def stop(self):
         """Stop after the current call."""
         self._running = False
@@ -98,7 +109,8 @@
         """Make one call; return whether it was answered."""
         sent_at = self._clock.seconds()
         is_snapshot = self._version is None
-        if self._failing or self._confirmed_at is None:
+        is_probing = self._failing or self._confirmed_at is None
+        if is_probing:
             sent_at, answer = await self._probe()
         else:
             answer = await self._request(self._wait_s)
@@ -115,6 +127,7 @@
             self._set_failing(failing=True, reason=answer.reason)
             return False
         self._set_failing(failing=False)
+        self._record_delay(sent_at, 0.0 if is_probing else self._wait_s, answer)
         if answer.store_ms:
             self._store_clock = (answer.store_ms, self._clock.seconds())
         if is_snapshot or answer.rows:
@@ -129,6 +142,16 @@
         self._last_response_at = self._clock.seconds()
         return True
 
+    def _record_delay(self, sent_at, wait_s, answer):
+        """Record the delay of a response to a call that may wait for `wait_s`.
+
+        If there are changes, the store may have waited less for the first.
+        """
+        took_s = self._clock.seconds() - sent_at
+        least_s = max(0.0, took_s - wait_s)
+        most_s = took_s if answer.rows else least_s
+        self._response_delay_s = min(max(self._response_delay_s, least_s), most_s)
+
     async def _start_over(self):
         """Read all rows again later, since some have not been applied."""
         log_message(
--- a/packages/entry/src/samphiredeal/entry/graphs/store_health.py
+++ b/packages/entry/src/samphiredeal/entry/graphs/store_health.py
@@ -10,6 +10,13 @@
 _HEALTHY_S = 1.0
 # The same for the configuration, whose changes are polled every 0.7 s.
 _CONFIG_HEALTHY_S = 1.3
+# Responses of a store that is not slowed down. One that answered so recently can be
+# relied on.
+_SHORT_DELAY_S = 0.05
+_RECENT_S = 0.1
+# How long any answer of a store is awaited, and how many times its last delay.
+_ANSWER_MIN_S = 0.3
+_ANSWER_FACTOR = 3.0
 
 
 class StoreHealth:
@@ -37,6 +44,23 @@
         """Whether the store responds without delay."""
         return self.is_healthy and self._work_follower.since_last_response_s < _PROMPT_S
 
+    @property
+    def is_answering(self):
+        """Whether the store has answered so recently that it can be relied on.
+
+        One that is slow is expected to answer as late as it did last.
+        """
+        delay_s = self._work_follower.response_delay_s
+        limit_s = _RECENT_S
+        if delay_s > _SHORT_DELAY_S:
+            limit_s = self._work_follower.wait_s + 2 * delay_s
+        return self.since_last_response_s < limit_s
+
+    @property
+    def answer_limit_s(self):
+        """How long to wait for an answer until the store counts as silent."""
+        return max(_ANSWER_MIN_S, _ANSWER_FACTOR * self._work_follower.response_delay_s)
+
     @property
     def is_unresponsive(self):
         """Whether the store has not responded for too long to write to it."""
--- a/packages/entry/src/samphiredeal/entry/graphs/write_resolver.py
+++ b/packages/entry/src/samphiredeal/entry/graphs/write_resolver.py
@@ -1,4 +1,9 @@
-"""Retries of callers' writes until their outcome is known."""
+"""Retries of callers' writes until their outcome is known.
+
+A write whose answer does not come may still be applied, so its caller cannot be told
+that it was not. A store that has not answered for a while is therefore asked with a
+read first, which has no effect: if that is not answered, nothing is written.
+"""
 
 from twisted.internet.task import deferLater
 
@@ -19,6 +24,9 @@
 _TRY_TIMEOUT_S = 0.5
 # Between tries of one write; most transient rejections are over by then.
 _RETRY_DELAY_S = 0.15
+_RECOVERY_POLL_INTERVAL_S = 0.05
+# The largest share of a caller's time to spend on asking the store first.
+_ASK_SHARE = 0.15
 # Time reserved for returning the answer to the caller, and the largest share of the
 # remaining time that it may take: a healthy store answers a write within 0.02 s.
 _REPLY_RESERVE_S = 0.15
@@ -32,7 +40,6 @@
         self._clock = clock
         self._table = table
         self._store_health = store_health
-        self._last_timeout_at = float("-inf")
         self._in_doubt = {}
 
     async def write(self, call, conditions, puts):
@@ -43,9 +50,13 @@
         """
         key = conditions[0].key
         self._drop_expired()
-        if self._is_store_unresponsive() and key not in self._in_doubt:
-            reason = f"no response for {self._store_health.rows_age_s:.1f} s"
-            return Unavailable(reason, not_applied=True)
+        if not await self._is_store_answering(key, call):
+            # An earlier write may be settled as soon as the store is back.
+            in_doubt = key in self._in_doubt
+            if not (in_doubt and await self._has_recovered_within(call)):
+                since_s = self._store_health.since_last_response_s
+                reason = f"no response for {since_s:.1f} s"
+                return Unavailable(reason, not_applied=not in_doubt)
         began_at = self._clock.seconds()
         elapsed_s, all_rejected = 0.0, True
         recoveries = self._store_health.recoveries
@@ -80,8 +91,7 @@
     def _give_up(self, key, answer, all_rejected):
         """Return the last answer; `all_rejected` means that no try can be applied."""
         if not all_rejected:
-            self._last_timeout_at = self._clock.seconds()
-            self._in_doubt[key] = self._last_timeout_at
+            self._in_doubt[key] = self._clock.seconds()
         not_applied = all_rejected and key not in self._in_doubt
         return answer._replace(not_applied=not_applied)
 
@@ -94,18 +104,29 @@
         )
         return min(_time_left_s(call), limit_s)
 
-    def _is_store_unresponsive(self):
-        """Return whether the store has not responded for too long.
+    async def _is_store_answering(self, key, call):
+        """Return whether the store answers, asking it first if it has not of late."""
+        if self._store_health.is_answering:
+            return True
+        if not self._store_health.is_healthy:
+            return False
+        limit_s = min(self._store_health.answer_limit_s, _ASK_SHARE * call.wait_s)
+        answer = await within(self._clock, limit_s, self._table.read(key))
+        is_silent = isinstance(answer, Unavailable) and not answer.not_applied
+        return not is_silent or self._store_health.is_answering
+
+    async def _has_recovered_within(self, call):
+        """Return whether the store answers again in the time for an unanswered write.
 
-        Also true if the store is not healthy and a write has timed out since the last
-        response to the follower of the system's rows.
+        Nothing is sent meanwhile: it would not be applied after the return either.
         """
-        since_s = self._clock.seconds() - self._last_timeout_at
-        unresponsive = (
-            since_s < self._store_health.since_last_response_s
-            and not self._store_health.is_healthy
-        )
-        return self._store_health.is_unresponsive or unresponsive
+        limit_s = min(_time_left_s(call), _UNANSWERED_WRITE_TIMEOUT_S)
+        give_up_at = self._clock.seconds() + limit_s
+        while self._clock.seconds() < give_up_at:
+            await deferLater(self._clock, _RECOVERY_POLL_INTERVAL_S)
+            if self._store_health.is_answering:
+                return True
+        return False
 
     def _drop_expired(self):
         """Drop the writes that are too old to be still applied."""
--- a/packages/platform/src/samphiredeal/platform/memory.py
+++ b/packages/platform/src/samphiredeal/platform/memory.py
@@ -31,8 +31,9 @@
 
     `reads`, `writes` and `rejected` count calls, the last those beyond the limits.
     A store that is `down` refuses every call; one that is `silent` neither applies
-    nor answers calls made meanwhile. `delay_s` delays every answer; `lose_answers`
-    is the number of writes still to be applied without an answer.
+    nor answers calls made meanwhile, nor answers calls for changes that wait then.
+    `delay_s` delays every answer; `lose_answers` is the number of writes still to be
+    applied without an answer.
 
     `write_delay_s` delays the answers to writes only; they are applied at once.
     `transaction_s` is how long the store takes to apply a write of this caller. If it
@@ -143,7 +144,9 @@
         def check():
             if answered.called:
                 return
-            if after < records.forgotten_to:
+            if self.faults.silent:
+                records.waiting.append(check)
+            elif after < records.forgotten_to:
                 answered.callback(HistoryLost(records.version))
             elif records.since(after):
                 answered.callback(self._changes_now(records.since(after)))
@@ -151,8 +154,16 @@
                 records.waiting.append(check)
 
         def give_up():
+            if answered.called:
+                return
+            if self.faults.silent:
+                self._time_out(CHANGES_TIMEOUT_S).addCallback(end)
+            else:
+                end(self._changes_now([]))
+
+        def end(answer):
             if not answered.called:
-                answered.callback(self._changes_now([]))
+                answered.callback(answer)
 
         check()
         if not answered.called and self._clock is not None:
--- /dev/null
+++ b/tests/test_silent_store.py
@@ -0,0 +1,102 @@
+"""Calls in the first seconds of a silent outage of the store.
+
+The pattern: the store stops answering from one moment to the next, for longer than a
+caller waits; nothing that is sent meanwhile is applied. An entry learns of it only as
+its calls stay unanswered. A caller with 3 s and a few tries is served best by a prompt
+refusal that is true, and comes back while the outage may have ended.
+"""
+
+import msgspec
+import pytest
+from graph_world import make_graph_world
+
+from samphiredeal.model import answers
+
+STEP = {"count": 1, "cpu": 1000, "mem-mb": 1000, "gpu": 1, "estimated-ms": 1000}
+BODY = msgspec.json.encode({"spec": "", "steps": [STEP]})
+# Times from the beginning of the outage to the call.
+DELAYS_S = [0.12, 0.2, 0.35, 0.5, 0.65, 0.8, 0.95, 1.1, 1.4]
+
+
+def set_store_silent(world, silent):
+    for node in world.nodes.values():
+        node.faults.silent = silent
+
+
+def make_world_in_outage(elapsed_s):
+    """Return a world whose store has been silent for some time."""
+    world = make_graph_world()
+    # An idle store: the entries hear it at the end of each call for changes.
+    world.run(2.0)
+    set_store_silent(world, True)
+    world.run(elapsed_s)
+    return world
+
+
+def submit(world, entry="e0", wait_s=3.0):
+    """Submit a job; return its answer and how long that took."""
+    began_at = world.clock.seconds()
+    answer = world.wait_for_answer(
+        world.call(entry, answers.SUBMIT, "/normal/a1", BODY, wait_s=wait_s)
+    )
+    return answer, world.clock.seconds() - began_at
+
+
+# A job submitted 0.7 s after the store's last response was written into the silence,
+# held for 1.1 s, and its caller was told that it may have been accepted (inc-short,
+# fourth report, trouble-3 --seed 74001).
+@pytest.mark.parametrize("elapsed_s", DELAYS_S)
+def test_job_in_a_silent_outage_is_refused_before_it_is_in_doubt(elapsed_s):
+    world = make_world_in_outage(elapsed_s)
+    answer, took_s = submit(world)
+    assert answer.kind == answers.NOT_DONE
+    assert took_s <= 0.75
+
+
+# Each further try was written into the silence again, where it is lost.
+@pytest.mark.parametrize("pause_s", [0.1, 0.5, 1.0])
+def test_retry_of_a_call_in_doubt_writes_nothing_into_the_silence(pause_s):
+    world = make_graph_world()
+    # The scheduler writes its heartbeats as well.
+    entry = next(name for name in ("e0", "e1") if name != world.scheduler())
+    world.submit(entry, "b1", [STEP])
+    set_store_silent(world, True)
+    assert submit(world, entry)[0].kind == answers.UNSETTLED
+    world.run(pause_s)
+    faults = world.nodes[entry].faults
+    writes = faults.writes
+    assert submit(world, entry)[0].kind == answers.UNSETTLED
+    assert faults.writes == writes
+
+
+# A refusal must be true: nothing of the job may be stored after the outage.
+@pytest.mark.parametrize("elapsed_s", DELAYS_S)
+def test_refused_job_is_not_accepted_after_the_outage(elapsed_s):
+    world = make_world_in_outage(elapsed_s)
+    for entry in ("e0", "e1", "e2"):
+        assert submit(world, entry)[0].kind == answers.NOT_DONE
+    set_store_silent(world, False)
+    world.run(2.0)
+    assert world.state("e1", "a1") == answers.NO_JOB
+
+
+@pytest.mark.parametrize("delay_s", [0.0, 0.05, 0.2, 0.4])
+@pytest.mark.parametrize("elapsed_s", [0.12, 0.3, 0.6])
+def test_job_is_accepted_by_a_store_that_is_only_slow(delay_s, elapsed_s):
+    world = make_graph_world()
+    for node in world.nodes.values():
+        node.faults.delay_s = delay_s
+    world.run(3.0 + elapsed_s)
+    assert submit(world)[0].kind == answers.ACCEPTED
+
+
+# The store answers one entry only: the others must not refuse for it.
+def test_entry_that_hears_nothing_has_others_accept():
+    world = make_graph_world()
+    world.run(2.0)
+    for name in ("e0", "e1"):
+        world.nodes[name].faults.silent = True
+    world.run(0.4)
+    answer, took_s = submit(world)
+    assert answer.kind == answers.ACCEPTED
+    assert took_s <= 1.0
