Wait for the lease of an evicted agent only once, also after a loss of all VMs

The row that evicts an agent now says by the store's clock when its leases have certainly expired, and the next scheduler goes by that.

For it to hold nothing may be authorized while the row is there.

--- a/packages/entry/src/samphiredeal/entry/graphs/node.py
+++ b/packages/entry/src/samphiredeal/entry/graphs/node.py
@@ -56,6 +56,7 @@
     operations: object
     operations_age_s: object
     is_store_silent: object
+    store_ms: object
     connect: object
     wall_ms: object
     far_factor: float
@@ -146,6 +147,7 @@
             self._operator_view,
             lambda: self._operator_follower.age_s,
             lambda: self._work_follower.is_unresponsive,
+            lambda: self._work_follower.store_ms,
             connect,
             self._wall_clock.unix_ms,
             bounds.far_factor,
--- a/packages/entry/src/samphiredeal/entry/graphs/sessions.py
+++ b/packages/entry/src/samphiredeal/entry/graphs/sessions.py
@@ -13,6 +13,7 @@
 from samphiredeal.entry.graphs.leadership import SCHEDULER_AUTHORITY_S
 from samphiredeal.model.runs import Orders, RunId
 from samphiredeal.platform.table import Committed, Condition, Conflict, Put
+from samphiredeal.policy.graphs import records
 from samphiredeal.wire import orders as coding
 from samphiredeal.wire.messages import WorkOrders, WorkReport
 
@@ -29,6 +30,9 @@
 # The rows of a failed agent are deleted after this time without a report. If it comes
 # back later, it announces itself again.
 _REMOVE_AFTER_S = 300.0
+# How far an estimate of the store's clock may be behind it: the clock is read from an
+# answer, and calls that take longer are given up.
+_STORE_CLOCK_ERROR_S = 1.5
 # With a condition each, below the limit of a transaction's operations.
 _MAX_PLACES_PER_WRITE = 45
 
@@ -63,6 +67,10 @@
         self.completions_sent = 0
         self.evicting = False
         self.evicted_at = None
+        # The store's clock by which the leases have expired, as the scheduler before
+        # this one stored it, or 0; and whether this one has begun to store it.
+        self.expired_ms = 0
+        self.is_expiry_sent = False
         self.failed = False
 
 
@@ -94,6 +102,7 @@
             if session is None:
                 place = self._host.view.places.get(name, stored)
                 session = Session(name, place.value.address, now)
+                session.expired_ms = self._stored_expiry_ms(name)
                 if place is not stored:
                     session.is_place_stored = True
                     session.place_version = place.version
@@ -126,6 +135,7 @@
                 self._dispatcher.scheduler.mark_worker_unreachable(session.name)
             if no_report_s > EVICT_AFTER_S:
                 self._evict(session, now)
+            self._store_expiry(session, now)
             self._fail_if_lease_lapsed(session, now)
             if session.announced_address != session.address:
                 self._move_if_empty(session, now)
@@ -159,6 +169,10 @@
             last_report_at = session.last_report_at
             if session.link is None or last_report_at is None:
                 continue
+            if session.name in self._host.view.evicted:
+                # Its orders would authorize it to extend leases that the row says have
+                # expired. The row is being deleted.
+                continue
             if now - last_report_at < UNRESPONSIVE_AFTER_S:
                 self._send(session, now)
 
@@ -308,6 +322,7 @@
             self._revoke_eviction(session)
         self._check_worker_known(session, report, message.number, now)
         session.evicting, session.evicted_at, session.failed = False, None, False
+        session.expired_ms, session.is_expiry_sent = 0, False
         session.last_report_at = session.no_report_since = now
         session.report = report
         session.report_number = message.number
@@ -370,7 +385,9 @@
     async def _store_eviction(self, session):
         # Each value occurs once, so that only this write can have put the row.
         self._evictions += 1
-        eviction = work.EvictionRecord(self._leadership.epoch, self._evictions)
+        eviction = work.EvictionRecord(
+            self._leadership.epoch, self._evictions, session.expired_ms
+        )
         value = msgspec.json.encode(eviction)
         answer = await self._host.table.write(
             [self._leadership.condition],
@@ -387,6 +404,47 @@
                 self._clock.seconds() - EVICT_AFTER_S + _EVICT_RETRY_DELAY_S,
             )
 
+    def _store_expiry(self, session, now):
+        """Store for the next scheduler when an evicted agent's leases have expired.
+
+        The row that evicts it has to be seen first: from then on the agent gets no
+        orders before the row is deleted, which this write cannot outlast.
+        """
+        stored = self._host.view.evicted.get(session.name)
+        store_ms = self._host.store_ms()
+        if session.evicted_at is None or session.expired_ms or session.is_expiry_sent:
+            return
+        if stored is None or not store_ms or self._host.is_store_silent():
+            return
+        session.is_expiry_sent = True
+        self._evictions += 1
+        left_s = self._authority_until(session) + self._host.lease_wait_s - now
+        expired_ms = store_ms + round((left_s + _STORE_CLOCK_ERROR_S) * 1000)
+        eviction = work.EvictionRecord(
+            self._leadership.epoch, self._evictions, expired_ms
+        )
+        key = work.evicted_key(session.name)
+        conditions = [self._leadership.condition, Condition(key, stored.version)]
+        self._host.table.write(conditions, [Put(key, msgspec.json.encode(eviction))])
+
+    def _stored_expiry_ms(self, name):
+        """Return the expiry of an evicted agent's leases in its row, or 0.
+
+        Only the scheduler just before this one has certainly sent it no orders since.
+        """
+        stored = self._host.view.evicted.get(name)
+        if stored is None:
+            return 0
+        try:
+            eviction = records.decode(stored.value, work.EvictionRecord)
+        except ValueError as error:
+            log_message(
+                message_type="eviction_unreadable", worker=name, reason=str(error)
+            )
+            return 0
+        is_previous = eviction.epoch == self._leadership.epoch - 1
+        return eviction.expired_ms if is_previous else 0
+
     def _revoke_eviction(self, session):
         """Delete the eviction of a returned agent, so that it extends leases again.
 
@@ -417,19 +475,29 @@
 
     def _fail_if_lease_lapsed(self, session, now):
         """Treat a worker's runs as failed once its lease has certainly expired."""
-        if session.evicted_at is None or session.failed:
+        if session.failed:
             return
-        # A previous scheduler may have authorized extensions until
-        # `SCHEDULER_AUTHORITY_S` after its last heartbeat.
-        authority_until = max(
-            session.evicted_at, self._term_started_at + SCHEDULER_AUTHORITY_S
-        )
-        if now > authority_until + self._host.lease_wait_s:
+        if self._has_lease_lapsed(session, now):
             session.failed = True
             self._dispatcher.scheduler.mark_worker_failed(
                 session.name, "no response until its lease had expired"
             )
 
+    def _has_lease_lapsed(self, session, now):
+        if session.expired_ms and self._host.store_ms() >= session.expired_ms:
+            return True
+        if session.evicted_at is None:
+            return False
+        return now > self._authority_until(session) + self._host.lease_wait_s
+
+    def _authority_until(self, session):
+        """Return until when an evicted agent may have been authorized.
+
+        A previous scheduler may have authorized extensions until
+        `SCHEDULER_AUTHORITY_S` after its last heartbeat.
+        """
+        return max(session.evicted_at, self._term_started_at + SCHEDULER_AUTHORITY_S)
+
     def _check_worker_known(self, session, report, number, now):
         """Treat a worker's runs as failed if its agent has not known it for a lease.
 
--- a/packages/entry/src/samphiredeal/entry/graphs/work.py
+++ b/packages/entry/src/samphiredeal/entry/graphs/work.py
@@ -114,10 +114,15 @@
 
 
 class EvictionRecord(NamedTuple):
-    """Which eviction of a scheduler's term it is; readers look only for the row."""
+    """Which eviction of a scheduler's term it is; agents look only for the row.
 
-    epoch: int
-    number: int
+    `expired_ms` is the store's clock by which all leases of the agent have certainly
+    expired, or 0 if the eviction is not known to be stored yet.
+    """
+
+    epoch: records.Count
+    number: records.Count
+    expired_ms: records.Count = 0
 
 
 class EntryRecord(NamedTuple):
@@ -216,7 +221,7 @@
         if known is not None and known.version >= row.version:
             return
         record_type = _RECORD_TYPES.get(prefix + "/")
-        value = records.decode(row.value, record_type) if record_type else None
+        value = records.decode(row.value, record_type) if record_type else row.value
         if record_type in (WorkerRecord, PlaceRecord, EntryRecord):
             untrusted.parse_address(value.address)
         entries[name] = Versioned(value, row.version)
