Spread the first work over workers whose speed is not known

Tasks that are not members of a gang and have time to spare go to idle workers whose speed is not known while half of the workers are idle.

--- a/packages/policy/src/samphiredeal/policy/graphs/scheduler.py
+++ b/packages/policy/src/samphiredeal/policy/graphs/scheduler.py
@@ -131,6 +131,7 @@
         """Take over the `Belief` of an earlier scheduler on a worker's speed."""
         self.speeds.restore(name, belief)
         self.workers[name].speed = self.speeds.speed_of(name)
+        self.workers[name].is_speed_known = True
 
     def remove_worker(self, name):
         """Remove a worker if it has no placements."""
@@ -498,11 +499,18 @@
         remote_allowed = waiting.may_run_remotely(
             unit, workers, covered, self._far_factor, now
         )
-        spared = set()
+        spared, unmeasured = set(), set()
         if waiting.has_slack(unit, context):
             spared = fastest_workers(workers, self._headroom.share(now))
+            unmeasured = measuring.workers_to_measure(unit, workers)
         places = fitting.find_places(
-            unit, workers, available_on, self._far_factor, remote_allowed, spared
+            unit,
+            workers,
+            available_on,
+            self._far_factor,
+            remote_allowed,
+            spared,
+            unmeasured,
         )
         if places is None:
             constrained = fitting.is_constrained(unit) and not remote_allowed
--- a/packages/policy/tests/test_uneven_speeds.py
+++ b/packages/policy/tests/test_uneven_speeds.py
@@ -7,23 +7,9 @@
     make_scheduler,
     make_step,
 )
+from uneven_builders import make_uneven_scheduler, places_of, start_urgent
 
 from samphiredeal.model.runs import Running
-from samphiredeal.policy.graphs.speeds import Belief
-
-
-def make_uneven_scheduler(speeds):
-    """Return a scheduler that knows these speeds of workers with 8 accelerators."""
-    scheduler = make_scheduler({name: make_facts(name) for name in speeds})
-    for name, log_speed in speeds.items():
-        scheduler.restore_speed(name, Belief(log_speed, 150.0))
-    return scheduler
-
-
-def places_of(scheduler, job_id):
-    """Return the names of the workers on which a job is placed."""
-    units = scheduler.jobs[job_id].units.values()
-    return sorted(p.worker for unit in units for p in unit.placements.values())
 
 
 def report_progress(scheduler, name, at, percent_of):
@@ -36,14 +22,6 @@
     scheduler.apply_report(name, report, at)
 
 
-def start_urgent(scheduler, job_id, now, **step):
-    record = make_record(
-        job_id, [make_step(**step)], priority=0, stretch=1.5, target_latency_ms=250
-    )
-    scheduler.add_job(record._replace(accepted_ms=round(now * 1000)), None, now)
-    scheduler.plan(now, round(now * 1000))
-
-
 # Long work took the fast workers, and the urgent work that followed ended late.
 def test_work_with_time_to_spare_leaves_the_fast_worker_to_urgent_work():
     scheduler = make_uneven_scheduler({"w0": 0.22, "w1": 0.0, "w2": 0.0, "w3": 0.0})
