Give up capacity that was expected to become free and did not

Found in reading: an urgent task that waited for a run to end elsewhere kept its claim if that run went on and the free capacity was taken meanwhile, and work with a claim preempts nothing. A claim now holds for as long as something is being stopped for it, or until its deadline. The test failed before.

--- a/packages/policy/src/samphiredeal/policy/graphs/scheduler.py
+++ b/packages/policy/src/samphiredeal/policy/graphs/scheduler.py
@@ -43,6 +43,8 @@
 _STOP_RETRY_S = 0.5
 # Runs that can be resumed are moved to faster workers one by one, at this interval.
 _MOVE_INTERVAL_S = 0.5
+# How long a place is kept for such a run. A stop takes 0.9 s at most.
+_MOVE_TIMEOUT_S = 2.0
 # A step wider than the total capacity divided by this is expected to run in waves.
 # Urgent work beyond its guarantee preempts other work for one wave at a time.
 _WAVES_PER_CAPACITY = 4
@@ -392,6 +394,7 @@
             places = sooner.find_move(unit, candidates, self.workers, self._far_factor)
             if places is not None:
                 self._claim(unit, places)
+                unit.claimed_until = now + _MOVE_TIMEOUT_S
                 self._stop(unit, "it ends sooner on a faster worker")
                 return
 
@@ -633,7 +636,11 @@
     def _is_claim_useful(self, unit, now):
         """Return whether the capacity claimed for a unit is still expected to free."""
         workers = [self.workers.get(name) for name in unit.claim]
-        return None not in workers and all(
+        if None in workers:
+            return False
+        # Runs that were expected to end by themselves may not.
+        is_freed = any(p.stopping for one in workers for p in one.placements.values())
+        return (is_freed or now < unit.claimed_until) and all(
             self._is_reclaimable(unit, worker)
             and not health.is_risky(worker, unit)
             and not any(
--- a/packages/policy/tests/test_ends_sooner.py
+++ b/packages/policy/tests/test_ends_sooner.py
@@ -105,6 +105,20 @@
     assert places_of(scheduler, "u1") == ["w1"]
 
 
+# The claim on capacity that did not become free kept urgent work from preempting.
+def test_urgent_work_preempts_if_the_awaited_run_goes_on_and_no_room_is_left():
+    scheduler = make_uneven_scheduler({"w0": FAST, "w1": SLOW})
+    begin(scheduler, "n1", 0.0, accelerators=8, estimate_ms=25_000)
+    report(scheduler, "w0", 20.0, 98)
+    start_urgent(scheduler, "u1", 20.0, accelerators=8, estimate_ms=5000)
+    begin(scheduler, "n2", 20.1, accelerators=8, estimate_ms=25_000)
+    assert places_of(scheduler, "n2") == ["w1"]
+    report(scheduler, "w1", 20.2, 1)
+    for tenths in range(3, 20):
+        scheduler.plan(20.0 + tenths / 10, 20_000 + 100 * tenths)
+    assert stopping(scheduler)
+
+
 @pytest.mark.parametrize("speed", [0.0, 0.1])
 def test_urgent_work_that_ends_in_time_starts_at_once(speed):
     scheduler = make_uneven_scheduler({"w0": FAST, "w1": speed})
