--- a/packages/policy/src/samphiredeal/policy/graphs/scheduler.py
+++ b/packages/policy/src/samphiredeal/policy/graphs/scheduler.py
@@ -253,7 +253,7 @@
                 blocked.add(group)
         if now >= self._moves_due_at:
             self._moves_due_at = now + _MOVE_INTERVAL_S
-            self._move_to_faster_worker(now)
+            self._move_to_faster_worker(now, context)
 
     def orders_for(self, worker_name, now):
         """Return (starts, stops) that are due to be sent to a worker's agent."""
@@ -372,8 +372,8 @@
             self._step_speeds[step] = health.step_speeds(unit)
         return health.is_abnormally_slow(placement, self._step_speeds[step])
 
-    def _move_to_faster_worker(self, now):
-        """Stop a run that can be resumed and ends sooner elsewhere; claim its place.
+    def _move_to_faster_worker(self, now, context):
+        """Stop a run that can be resumed and is late where it is; claim a faster place.
 
         The workers that are left to urgent work are not used.
         """
@@ -391,7 +391,9 @@
                 if fitting.is_allowed(self, unit, worker)
                 and not health.is_risky(worker, unit)
             ]
-            places = sooner.find_move(unit, candidates, self.workers, self._far_factor)
+            places = sooner.find_move(
+                unit, candidates, self.workers, self._far_factor, context
+            )
             if places is not None:
                 self._claim(unit, places)
                 unit.claimed_until = now + _MOVE_TIMEOUT_S
--- a/packages/policy/src/samphiredeal/policy/graphs/sooner.py
+++ b/packages/policy/src/samphiredeal/policy/graphs/sooner.py
@@ -3,7 +3,7 @@
 Urgent work has little time to spare, and the fastest workers are often full of work
 that could wait or run elsewhere. It then waits for runs that are about to end there, or
 takes their places, if that ends sooner and costs others less than it gains. A run that
-can be resumed moves to a faster worker once one has room.
+can be resumed and would end late moves to a faster worker once one has room.
 """
 
 from typing import NamedTuple
@@ -55,7 +55,12 @@
 
 def is_safe(unit, expected_run_s, context):
     """Return whether a unit that starts now ends well within its objective."""
-    limit_s = _SAFE_SHARE * ordering.objective_s(unit.job, context)
+    return ends_within(unit, expected_run_s, context, _SAFE_SHARE)
+
+
+def ends_within(unit, expected_run_s, context, share):
+    """Return whether the job ends in a share of its objective, by this run time."""
+    limit_s = share * ordering.objective_s(unit.job, context)
     # What is left after this step takes as long as on an average worker.
     rest_s = ordering.remaining_path_s(unit.job.record.spec, unit.step)
     rest_s = rest_s / unit.job.pace - unit.expected_s
@@ -136,9 +141,10 @@
     ]
 
 
-def find_move(unit, candidates, workers, far_factor):
+def find_move(unit, candidates, workers, far_factor, context):
     """Return faster places for a unit that runs and can be resumed, or None.
 
+    Work that ends in time stays: the faster workers are worth more to what comes next.
     `candidates` are the workers that may be used, `workers` all by name.
     """
     placements = list(unit.placements.values())
@@ -149,6 +155,9 @@
         return None
     left = 1 - least_percent / 100
     here = {p.worker: 1 for p in placements}
+    here_s = left * run_s(unit, here, workers, far_factor)
+    if ends_within(unit, here_s, context, 1.0):
+        return None
     found = fitting.find_places(
         unit,
         [one for one in candidates if one.name not in here],
@@ -158,7 +167,6 @@
     )
     if found is None:
         return None
-    here_s = left * run_s(unit, here, workers, far_factor)
     gain_s = here_s - _MOVE_S - left * run_s(unit, found, workers, far_factor)
     enough_s = max(_MOVE_MIN_GAIN_S, _MOVE_MIN_GAIN_SHARE * here_s)
     return found if gain_s >= enough_s else None
--- a/packages/policy/tests/test_ends_sooner.py
+++ b/packages/policy/tests/test_ends_sooner.py
@@ -50,6 +50,19 @@
     commit(scheduler)
 
 
+def begin_on_slow_worker(stretch, checkpointing):
+    """Return a scheduler with a task on w0, which is slow; w1 is fast, and idle."""
+    scheduler = make_uneven_scheduler({"w0": SLOW, "w1": FAST})
+    scheduler.mark_worker_unreachable("w1")
+    step = make_step(estimate_ms=20_000, checkpointing=checkpointing)
+    scheduler.add_job(make_record("n1", [step], stretch=stretch), None, 0.0)
+    scheduler.plan(0.0, 0)
+    commit(scheduler)
+    assert places_of(scheduler, "n1") == ["w0"]
+    report(scheduler, "w1", 2.0, 0)
+    return scheduler
+
+
 def stopping(scheduler):
     """Return the names of the workers with a run that is being stopped."""
     return {
@@ -145,16 +158,10 @@
     assert stopping(scheduler) == {"w0"}
 
 
-# A long check stayed on a slow worker although a fast one was idle, and was cancelled
-# 0.04 s before its end (inc-short, fourth report, trouble-3 --seed 74001).
-def test_run_that_can_be_resumed_moves_to_an_idle_faster_worker():
-    scheduler = make_uneven_scheduler({"w0": SLOW, "w1": FAST})
-    scheduler.zones_out = frozenset()
-    scheduler.mark_worker_unreachable("w1")
-    begin(scheduler, "n1", 0.0, estimate_ms=20_000, checkpointing=True)
-    assert places_of(scheduler, "n1") == ["w0"]
+# A run that would end late stayed on a slow worker although a fast one became idle.
+def test_late_run_that_can_be_resumed_moves_to_an_idle_faster_worker():
+    scheduler = begin_on_slow_worker(stretch=1.1, checkpointing=True)
     report(scheduler, "w0", 2.0, 10)
-    report(scheduler, "w1", 2.0, 0)
     scheduler.plan(2.0, 2000)
     assert stopping(scheduler) == {"w0"}
     ended = (Ended(1, "n1.0.0.0", 1, "stopped", "saved"),)
@@ -164,13 +171,12 @@
 
 
 @pytest.mark.parametrize(
-    ("percent", "checkpointing"), [(10, False), (90, True)], ids=["unsaved", "near end"]
+    ("percent", "stretch", "checkpointing"),
+    [(10, 1.1, False), (95, 1.1, True), (10, 3.0, True)],
+    ids=["unsaved", "near end", "in time"],
 )
-def test_run_that_gains_too_little_stays(percent, checkpointing):
-    scheduler = make_uneven_scheduler({"w0": SLOW, "w1": FAST})
-    scheduler.mark_worker_unreachable("w1")
-    begin(scheduler, "n1", 0.0, estimate_ms=20_000, checkpointing=checkpointing)
+def test_run_that_gains_too_little_stays(percent, stretch, checkpointing):
+    scheduler = begin_on_slow_worker(stretch, checkpointing)
     report(scheduler, "w0", 2.0, percent)
-    report(scheduler, "w1", 2.0, 0)
     scheduler.plan(2.0, 2000)
     assert stopping(scheduler) == set()
