A write that evicts an agent says nothing of its leases

Found in reading: the next scheduler carried the time at which the leases have expired over into its own eviction. If the store applies that write late, after the agent has returned and got orders, a third scheduler would take running work for ended. The time is now only added by the write that is conditional on the row as it was seen. The test failed before.

--- a/packages/entry/src/samphiredeal/entry/graphs/sessions.py
+++ b/packages/entry/src/samphiredeal/entry/graphs/sessions.py
@@ -385,9 +385,7 @@
     async def _store_eviction(self, session):
         # Each value occurs once, so that only this write can have put the row.
         self._evictions += 1
-        eviction = work.EvictionRecord(
-            self._leadership.epoch, self._evictions, session.expired_ms
-        )
+        eviction = work.EvictionRecord(self._leadership.epoch, self._evictions)
         value = msgspec.json.encode(eviction)
         answer = await self._host.table.write(
             [self._leadership.condition],
@@ -408,11 +406,12 @@
         """Store for the next scheduler when an evicted agent's leases have expired.
 
         The row that evicts it has to be seen first: from then on the agent gets no
-        orders before the row is deleted, which this write cannot outlast.
+        orders before the row is deleted, which this write cannot outlast. The write
+        that evicts the agent may be applied late, so it says nothing of leases.
         """
         stored = self._host.view.evicted.get(session.name)
         store_ms = self._host.store_ms()
-        if session.evicted_at is None or session.expired_ms or session.is_expiry_sent:
+        if session.evicted_at is None or session.is_expiry_sent:
             return
         if stored is None or not store_ms or self._host.is_store_silent():
             return
@@ -421,7 +420,7 @@
         left_s = self._authority_until(session) + self._host.lease_wait_s - now
         expired_ms = store_ms + round((left_s + _STORE_CLOCK_ERROR_S) * 1000)
         eviction = work.EvictionRecord(
-            self._leadership.epoch, self._evictions, expired_ms
+            self._leadership.epoch, self._evictions, session.expired_ms or expired_ms
         )
         key = work.evicted_key(session.name)
         conditions = [self._leadership.condition, Condition(key, stored.version)]
--- a/tests/test_eviction_outlasts_scheduler.py
+++ b/tests/test_eviction_outlasts_scheduler.py
@@ -57,6 +57,26 @@
     assert world.event_log.overlaps() == []
 
 
+# Guards against TWICE: the write that evicts an agent may be applied after the agent
+# has returned and got orders; it must not say that its leases have expired.
+def test_write_that_evicts_says_nothing_of_leases():
+    world = make_graph_world()
+    world.submit("e0", "a1", [LONG])
+    name = lose_worker_of(world, "a1.0.0.0")
+    key = f"evicted/{name}"
+    world.run(5.0)
+    replace_entries(world)
+    seen = {}
+    for _ in range(80):
+        world.run(0.05)
+        row = world.table.rows[key]
+        seen[row.version] = msgspec.json.decode(row.value, type=work.EvictionRecord)
+    first, second, third = seen.values()
+    assert first.epoch + 1 == second.epoch == third.epoch
+    assert second.expired_ms == 0
+    assert first.expired_ms == third.expired_ms > 0
+
+
 # Guards against TWICE: an agent that returned got orders while the row that says when
 # its leases have expired was still there, for the next scheduler to believe.
 def test_returned_agent_gets_no_orders_before_its_eviction_is_deleted():
