Bound the runs that are examined for a move

The scheduler examined each run that can be resumed against each worker twice a second. It now drops those that end in time first, and examines 20 at a time.

--- a/packages/policy/src/samphiredeal/policy/graphs/scheduler.py
+++ b/packages/policy/src/samphiredeal/policy/graphs/scheduler.py
@@ -43,6 +43,8 @@
 _STOP_RETRY_S = 0.5
 # Runs that can be resumed are moved to faster workers one by one, at this interval.
 _MOVE_INTERVAL_S = 0.5
+# Such runs that are examined at a time. Bounds the cost in a large system.
+_MAX_MOVES_EXAMINED = 20
 # How long a place is kept for such a run. A stop takes 0.9 s at most.
 _MOVE_TIMEOUT_S = 2.0
 # A step wider than the total capacity divided by this is expected to run in waves.
@@ -384,16 +386,17 @@
             if worker.reachable and not worker.leaving and worker.name not in spared
         ]
         fastest = max((worker.speed for worker in usable), default=0.0)
-        for unit in sooner.resumable_units(self.jobs.values(), self.workers, fastest):
+        units = sooner.late_resumable_units(
+            self.jobs.values(), self.workers, fastest, self._far_factor, context
+        )
+        for unit in units[:_MAX_MOVES_EXAMINED]:
             candidates = [
                 worker
                 for worker in usable
                 if fitting.is_allowed(self, unit, worker)
                 and not health.is_risky(worker, unit)
             ]
-            places = sooner.find_move(
-                unit, candidates, self.workers, self._far_factor, context
-            )
+            places = sooner.find_move(unit, candidates, self.workers, self._far_factor)
             if places is not None:
                 self._claim(unit, places)
                 unit.claimed_until = now + _MOVE_TIMEOUT_S
--- a/packages/policy/src/samphiredeal/policy/graphs/sooner.py
+++ b/packages/policy/src/samphiredeal/policy/graphs/sooner.py
@@ -122,42 +122,54 @@
     return claimed_s + _MIN_GAIN_S / 2 < run_s(unit, places, workers, far_factor)
 
 
-def resumable_units(jobs, workers, fastest):
-    """Return the units that could run faster and be resumed, by the speed `fastest`."""
+def late_resumable_units(jobs, workers, fastest, far_factor, context):
+    """Return the units that can be resumed and would end late where they run.
+
+    Those on workers that are hardly slower than the speed `fastest` are left out. Work
+    that ends in time stays: faster workers are worth more to what comes next.
+    """
     return [
         unit
         for job in jobs
         if job.active and job.record.advice is None
         for unit in job.units.values()
-        if unit.placements
-        and unit.spec.checkpointing
-        and not (unit.spec.lasting or unit.done)
+        if _is_resumable(unit)
         and all(
             p.worker in workers
             and workers[p.worker].reachable
             and workers[p.worker].speed * _MOVE_MIN_SPEEDUP < fastest
             for p in unit.placements.values()
         )
+        and not ends_within(unit, _left_s(unit, workers, far_factor), context, 1.0)
     ]
 
 
-def find_move(unit, candidates, workers, far_factor, context):
-    """Return faster places for a unit that runs and can be resumed, or None.
+def _is_resumable(unit):
+    """Return whether all members run, and save checkpoints."""
+    members = unit.placements.values()
+    if not unit.spec.checkpointing or unit.spec.lasting or unit.done:
+        return False
+    return len(members) == unit.count and all(
+        p.status == LISTED and not p.stopping and p.percent for p in members
+    )
+
+
+def _left_s(unit, workers, far_factor):
+    """Return for how long a unit is expected to run on where it is."""
+    places = {p.worker: 1 for p in unit.placements.values()}
+    return _left_share(unit) * run_s(unit, places, workers, far_factor)
+
+
+def _left_share(unit):
+    return 1 - min(p.percent for p in unit.placements.values()) / 100
+
+
+def find_move(unit, candidates, workers, far_factor):
+    """Return faster places for a unit of `late_resumable_units`, or None.
 
-    Work that ends in time stays: the faster workers are worth more to what comes next.
     `candidates` are the workers that may be used, `workers` all by name.
     """
-    placements = list(unit.placements.values())
-    if any(p.status != LISTED or p.stopping for p in placements):
-        return None
-    least_percent = min(p.percent for p in placements)
-    if not least_percent or len(placements) < unit.count:
-        return None
-    left = 1 - least_percent / 100
-    here = {p.worker: 1 for p in placements}
-    here_s = left * run_s(unit, here, workers, far_factor)
-    if ends_within(unit, here_s, context, 1.0):
-        return None
+    here = {p.worker for p in unit.placements.values()}
     found = fitting.find_places(
         unit,
         [one for one in candidates if one.name not in here],
@@ -167,9 +179,10 @@
     )
     if found is None:
         return None
-    gain_s = here_s - _MOVE_S - left * run_s(unit, found, workers, far_factor)
+    here_s = _left_s(unit, workers, far_factor)
+    there_s = _left_share(unit) * run_s(unit, found, workers, far_factor)
     enough_s = max(_MOVE_MIN_GAIN_S, _MOVE_MIN_GAIN_SHARE * here_s)
-    return found if gain_s >= enough_s else None
+    return found if here_s - _MOVE_S - there_s >= enough_s else None
 
 
 def remaining_s(placement, worker, far_factor, now):
