--- a/packages/policy/src/samphiredeal/policy/graphs/sooner.py
+++ b/packages/policy/src/samphiredeal/policy/graphs/sooner.py
@@ -13,7 +13,7 @@
 
 # Work that ends within this share of its objective starts at once: the rest is left for
 # an outage or a loss on the way.
-_SAFE_SHARE = 0.6
+_SAFE_SHARE = 0.8
 # What another start has to gain at least: estimates are off by a sixth.
 _MIN_GAIN_S = 0.3
 # Times at which awaited capacity is looked for. Work within its account's guarantee
