--- a/packages/policy/src/samphiredeal/policy/graphs/fitting.py
+++ b/packages/policy/src/samphiredeal/policy/graphs/fitting.py
@@ -13,8 +13,6 @@
 # Cost of capacity left unused on a worker, in run times. A tie-breaker that keeps
 # large free blocks for large members.
 _PACKING_WEIGHT = 0.15
-# Advantage of an idle worker whose speed is not known, for work that can show it.
-_UNKNOWN_SPEED_BONUS = 0.3
 # Speed at which a fast worker that is left to urgent work counts for other work: an
 # average worker is taken instead, but not a slow one.
 _SPARED_SPEED = 0.9
@@ -128,28 +126,19 @@
 
 
 def find_places(
-    unit,
-    workers,
-    available_on,
-    far_factor,
-    remote_allowed,
-    spared=frozenset(),
-    unmeasured=frozenset(),
+    unit, workers, available_on, far_factor, remote_allowed, spared=frozenset()
 ):
     """Return places for the whole unit in free capacity, or None.
 
     `workers` are those allowed; `available_on(worker)` returns the capacity to use
     there. Places where the unit takes longer are used only if `remote_allowed`. Those
     on the workers named in `spared` are left to other work if that costs little.
-    The unit is welcome on the workers named in `unmeasured`, whose speeds it shows.
     """
 
     def cost_on(worker):
         cost = run_cost(unit, worker, far_factor)
         if worker.name in spared:
             cost += 1 / _SPARED_SPEED - 1 / worker.speed
-        if worker.name in unmeasured:
-            cost -= _UNKNOWN_SPEED_BONUS
         return cost
 
     best = None
--- a/packages/policy/src/samphiredeal/policy/graphs/measuring.py
+++ b/packages/policy/src/samphiredeal/policy/graphs/measuring.py
@@ -9,8 +9,6 @@
 _REFRESH_INTERVAL_S = 1.0
 _PRECISE_REFRESH_INTERVAL_S = 4.0
 _PRECISE = 140.0
-# From this precision on more is known of a speed than that of any worker.
-_KNOWN = 40.0
 # Beliefs that are updated in a second, and at once after a pause. Bounds the cost in a
 # large system, where each is updated less often.
 _REFRESHES_PER_S = 50.0
@@ -62,18 +60,6 @@
     return is_whole and all(other.worker == worker.name for other in members)
 
 
-def workers_to_measure(unit, workers):
-    """Return the names of idle workers whose speeds the unit would show first.
-
-    Members of a gang show none. While half of the workers are in use, the rest is left
-    to work that needs them whole.
-    """
-    idle = [worker for worker in workers if not worker.placements]
-    if unit.count > 1 or unit.spec.lasting or 2 * len(idle) < len(workers):
-        return set()
-    return {worker.name for worker in idle if not worker.is_speed_known}
-
-
 class RefreshLimit:
     """Bounds how many beliefs are updated, by a token bucket."""
 
@@ -99,7 +85,6 @@
     for placement in worker.placements.values():
         record_run(speeds, placement, worker)
     belief = speeds.refresh(worker.name)
-    worker.is_speed_known = belief.precision > _KNOWN
     is_precise = belief.precision > _PRECISE
     interval_s = _PRECISE_REFRESH_INTERVAL_S if is_precise else _REFRESH_INTERVAL_S
     worker.speed_due_at = now + interval_s
--- a/packages/policy/src/samphiredeal/policy/graphs/scheduler.py
+++ b/packages/policy/src/samphiredeal/policy/graphs/scheduler.py
@@ -139,7 +139,6 @@
         """Take over the `Belief` of an earlier scheduler on a worker's speed."""
         self.speeds.restore(name, belief)
         self.workers[name].speed = self.speeds.speed_of(name)
-        self.workers[name].is_speed_known = True
 
     def remove_worker(self, name):
         """Remove a worker if it has no placements."""
@@ -539,18 +538,11 @@
         remote_allowed = waiting.may_run_remotely(
             unit, workers, covered, self._far_factor, now
         )
-        spared, unmeasured = set(), set()
+        spared = set()
         if waiting.has_slack(unit, context):
             spared = fastest_workers(workers, self._headroom.share(now))
-            unmeasured = measuring.workers_to_measure(unit, workers)
         places = fitting.find_places(
-            unit,
-            workers,
-            available_on,
-            self._far_factor,
-            remote_allowed,
-            spared,
-            unmeasured,
+            unit, workers, available_on, self._far_factor, remote_allowed, spared
         )
         if places is None:
             constrained = fitting.is_constrained(unit) and not remote_allowed
--- a/packages/policy/src/samphiredeal/policy/graphs/state.py
+++ b/packages/policy/src/samphiredeal/policy/graphs/state.py
@@ -384,7 +384,6 @@
         self.stalled_at = None
         # Expected speed relative to an average worker, and when it is estimated anew.
         self.speed = 1.0
-        self.is_speed_known = False
         self.speed_due_at = float("-inf")
 
     @property
