--- a/bench/bound.py
+++ b/bench/bound.py
@@ -49,7 +49,8 @@
 class Step(NamedTuple):
     """A step of a job, as logged when the job was first seen.
 
-    `fitting` is the number of its tasks that fit on all workers, 0 if unknown.
+    `fitting` is the number of its tasks that fit on all workers and `cores` the demand
+    of one, both 0 if unknown.
     """
 
     estimate_s: float
@@ -57,6 +58,7 @@
     checkpointing: bool
     after: tuple
     fitting: int = 0
+    cores: float = 0.0
 
     @property
     def rounds(self):
@@ -115,8 +117,8 @@
                 if "steps" not in fields:
                     raise ValueError("the log is of an earlier build, without steps")
                 self.steps[fields["job"]] = [
-                    Step(estimate_s, count, checkpointing, tuple(after), *fitting)
-                    for estimate_s, count, checkpointing, after, *fitting in fields[
+                    Step(estimate_s, count, checkpointing, tuple(after), *rest)
+                    for estimate_s, count, checkpointing, after, *rest in fields[
                         "steps"
                     ]
                 ]
--- a/bench/graph_drive.py
+++ b/bench/graph_drive.py
@@ -19,8 +19,6 @@
 REMOTE_FACTOR = 3.0
 CHECKPOINT_INTERVAL_S = 1.0
 RESTORE_S = 0.25
-# Wasted work on an accelerator counts as this many cores.
-ACCELERATOR_CORES = 8
 # A job that completes after this many times its objective has no value.
 LATE_LIMIT_FACTOR = 3.0
 # The largest job has at most this many times the value of its kind.
@@ -41,7 +39,7 @@
         self.name = name
         self.step = step
         self.checkpointing = step.checkpointing
-        self.cores = _cores(step)
+        self.cores = step.shape.cores
         self.began_at = began_at
         self.slowdown = 1.0
         self.stops_at = None
@@ -306,11 +304,5 @@
 def _job_work(job):
     total = 0.0
     for (number, _index), work_s in job.work_s.items():
-        total += work_s * _cores(job.record.spec.steps[number])
+        total += work_s * job.record.spec.steps[number].shape.cores
     return total
-
-
-def _cores(step):
-    """Return the demand of a task of a step, in cores."""
-    shape = step.shape
-    return shape.cpu_milli / 1000 + ACCELERATOR_CORES * shape.accelerators
--- a/packages/entry/src/samphiredeal/entry/graphs/call_handler.py
+++ b/packages/entry/src/samphiredeal/entry/graphs/call_handler.py
@@ -229,6 +229,7 @@
         )
         if isinstance(answer, Committed | Conflict):
             return JobAnswer(answers.ACCEPTED)
+        _log_not_stored(record, answer)
         return self._store_refusal(answer)
 
     async def _cancel(self, call, job_id):
@@ -295,6 +296,24 @@
         )
 
 
+def _log_not_stored(record, answer):
+    """Log what a job would have been that is not known to be stored."""
+    log_message(
+        message_type="job_not_stored",
+        job=record.id,
+        queue=record.queue,
+        priority=record.priority,
+        work_core_s=round(
+            sum(
+                step.count * step.shape.cores * step.estimate_ms / 1000
+                for step in record.spec.steps
+            ),
+            3,
+        ),
+        reason=answer.reason[:200],
+    )
+
+
 def _prefer_relayed(answer, relayed):
     """Return the relayed answer, if any, where this entry's own is not definite.
 
--- a/packages/entry/src/samphiredeal/entry/graphs/dispatcher.py
+++ b/packages/entry/src/samphiredeal/entry/graphs/dispatcher.py
@@ -350,6 +350,7 @@
                     step.checkpointing,
                     step.after,
                     fitting[number],
+                    step.shape.cores,
                 )
                 for number, step in enumerate(job.record.spec.steps[:_LOGGED_STEPS])
             ],
--- a/packages/model/src/samphiredeal/model/shape.py
+++ b/packages/model/src/samphiredeal/model/shape.py
@@ -9,6 +9,9 @@
 
 from typing import NamedTuple
 
+# Weight of an accelerator relative to processors, in cores.
+_ACCELERATOR_CORES = 8
+
 
 class Shape(NamedTuple):
     """Processors in thousandths of a core, memory in MB, whole accelerators."""
@@ -17,6 +20,11 @@
     memory_mb: int = 0
     accelerators: int = 0
 
+    @property
+    def cores(self):
+        """Processors and accelerators as one amount, in cores."""
+        return self.cpu_milli / 1000 + self.accelerators * _ACCELERATOR_CORES
+
     def plus(self, other):
         """Return the sum of both shapes."""
         return Shape(self[0] + other[0], self[1] + other[1], self[2] + other[2])
--- a/packages/policy/src/samphiredeal/policy/graphs/ordering.py
+++ b/packages/policy/src/samphiredeal/policy/graphs/ordering.py
@@ -8,7 +8,7 @@
 from typing import NamedTuple
 
 # A job that ends later than this many times its objective has no value to its user.
-_TOO_LATE_FACTOR = 3.0
+TOO_LATE_FACTOR = 3.0
 
 
 class OrderingContext(NamedTuple):
@@ -65,7 +65,7 @@
 
 def is_too_late(unit, context):
     """Return whether the unit can no longer end in time to be useful."""
-    limit_s = _TOO_LATE_FACTOR * objective_s(unit.job, context)
+    limit_s = TOO_LATE_FACTOR * objective_s(unit.job, context)
     return _age_at_end_s(unit, context) > limit_s
 
 
--- a/packages/policy/src/samphiredeal/policy/graphs/reclaim.py
+++ b/packages/policy/src/samphiredeal/policy/graphs/reclaim.py
@@ -10,8 +10,6 @@
 from samphiredeal.policy.graphs import fitting
 from samphiredeal.policy.graphs.state import LISTED, RESUME_COST_S
 
-# Weight of an accelerator relative to processors, in cores.
-_ACCELERATOR_CORES = 8
 # Preempting urgent work of an account beyond its guarantee is a last resort.
 _URGENT_COST_FACTOR = 10.0
 # Weight of the time that urgent work takes against work that is lost: in time it has
@@ -31,8 +29,7 @@
 
 def member_cores(unit):
     """Return the resources of one member, in cores."""
-    shape = unit.spec.shape
-    return shape.cpu_milli / 1000 + shape.accelerators * _ACCELERATOR_CORES
+    return unit.spec.shape.cores
 
 
 def required_core_s(unit):
