Show ends that the store does not take once another entry holds them

Cause: an end was shown only from its row. Its worker keeps it until it is acknowledged, so one loss does not make it forgotten; what was missing is that the other entries know it, and that a replaced scheduler cannot tell what the next one takes for lost. The scheduler now offers unstored ends to the entries; one accepts only if it hears the store no more than the scheduler, and knows of no newer one.

--- a/bench/late.py
+++ b/bench/late.py
@@ -99,9 +99,12 @@
         self._run_starts = {}
         self._stop_reasons = {}
         for at, node, fields in events:
-            if node in self._up_spans and node not in self._draining:
+            kind = fields.get("message_type")
+            # An entry that starts again was down until now.
+            is_up = node in self._up_spans and node not in self._draining
+            if is_up and kind != "entry_started":
                 self._up_spans[node][-1][1] = at
-            handle = getattr(self, f"_on_{fields.get('message_type')}", None)
+            handle = getattr(self, f"_on_{kind}", None)
             if handle is not None:
                 handle(at, node, fields)
 
@@ -116,6 +119,14 @@
                     return True
         return False
 
+    def is_entry_up(self, begin, end):
+        """Return whether an entry was up at any time in a time span."""
+        return any(
+            up_at < end and begin < down_at
+            for spans in self._up_spans.values()
+            for up_at, down_at in spans
+        )
+
     def _on_entry_started(self, at, node, fields):
         self._up_spans[node].append([at, at])
         self._draining.discard(node)
--- a/packages/entry/src/samphiredeal/entry/graphs/relay.py
+++ b/packages/entry/src/samphiredeal/entry/graphs/relay.py
@@ -7,20 +7,19 @@
 
 import msgspec
 from eliot import log_message
-from twisted.internet.defer import Deferred, ensureDeferred
+from twisted.internet.defer import ensureDeferred
 from twisted.internet.task import deferLater
 
 from samphiredeal.entry.graphs import work
+from samphiredeal.entry.graphs.peer_query import NoLink, NoReply, query
 from samphiredeal.model import answers
 from samphiredeal.model.answers import Call, JobAnswer
-from samphiredeal.platform.table import Committed, Put, within
+from samphiredeal.platform.table import Committed, Put
 from samphiredeal.wire.messages import Ask, AskReply
 
-_TOPIC = "call"
+TOPIC = "call"
 # Another entry answers from memory or after one write; a slow store takes 0.5 s.
 _REPLY_TIMEOUT_S = 0.6
-# Connections between entries either succeed within milliseconds or hang.
-_CONNECT_TIMEOUT_S = 0.2
 # Entries to try one after another before the caller is refused.
 _MAX_PEERS = 3
 _ANNOUNCE_RETRY_DELAY_S = 0.3
@@ -105,24 +104,17 @@
 
     async def _forward_to(self, name, call):
         address = self._view.entries[name].value.address
-        limit_s = min(_CONNECT_TIMEOUT_S, call.wait_s)
-        try:
-            link = await self._connect(address).addTimeout(limit_s, self._clock)
-        except Exception as error:
-            # Whatever the cause, nothing has been sent.
+        ask = Ask(self._name, TOPIC, msgspec.msgpack.encode(call))
+        limit_s = min(_REPLY_TIMEOUT_S, call.wait_s)
+        reply = await query(self._clock, self._connect, address, ask, limit_s)
+        if isinstance(reply, NoLink):
             self._unreachable_at[name] = self._clock.seconds()
-            reason = f"no link to {name}: {type(error).__name__}"
+            reason = f"no link to {name}: {reply.reason}"
             return JobAnswer(answers.NOT_DONE, reason=reason)
-        replied = Deferred()
-        link.on_message = lambda _link, message: _deliver(replied, message)
-        link.on_lost = lambda _link: _deliver(replied, None)
-        link.send(Ask(self._name, _TOPIC, msgspec.msgpack.encode(call)))
-        reply = await within(self._clock, min(_REPLY_TIMEOUT_S, call.wait_s), replied)
-        link.close()
-        if not isinstance(reply, AskReply):
+        if isinstance(reply, NoReply):
             return JobAnswer(answers.UNSETTLED, reason=f"{name} did not reply")
         try:
-            return msgspec.msgpack.decode(reply.document, type=JobAnswer)
+            return msgspec.msgpack.decode(reply, type=JobAnswer)
         except msgspec.DecodeError as error:
             reason = f"{name} sent a reply that cannot be decoded: {error}"
             return JobAnswer(answers.UNSETTLED, reason=reason)
@@ -131,8 +123,6 @@
 
     def answer(self, link, message):
         """Answer a call that another entry has forwarded in an `Ask`."""
-        if message.topic != _TOPIC:
-            return
         try:
             call = msgspec.msgpack.decode(message.document, type=Call)
         except msgspec.DecodeError as error:
@@ -151,10 +141,5 @@
         link.send(AskReply(query_id, msgspec.msgpack.encode(answer)))
 
 
-def _deliver(replied, message):
-    if not replied.called:
-        replied.callback(message)
-
-
 def _log_failure(failure):
     log_message(message_type="relayed_call_failed", reason=failure.getTraceback())
--- a/packages/entry/src/samphiredeal/entry/graphs/work.py
+++ b/packages/entry/src/samphiredeal/entry/graphs/work.py
@@ -170,6 +170,8 @@
         self.heartbeat_seen_at = clock.seconds()
         self.heartbeats_seen = 0
         self._completion_waiters = {}
+        # States of jobs that have ended, of which no row says so yet.
+        self._shown_ends = {}
         self._rows_by_prefix = {
             _JOB: self.jobs,
             _PROGRESS: self.progress,
@@ -225,8 +227,13 @@
         if record_type in (WorkerRecord, PlaceRecord, EntryRecord):
             untrusted.parse_address(value.address)
         entries[name] = Versioned(value, row.version)
-        if name in self._completion_waiters and self.state_of(name) in FINAL_STATES:
-            for waiter in self._completion_waiters.pop(name):
+        self._notify_if_ended(name)
+
+    def _notify_if_ended(self, job_id):
+        """Fire the waiters for a job's end if it has ended."""
+        waiters = self._completion_waiters
+        if job_id in waiters and self.state_of(job_id) in FINAL_STATES:
+            for waiter in waiters.pop(job_id):
                 waiter.callback(None)
 
     def _apply_if_newer(self, attribute, record_type, row):
@@ -249,9 +256,30 @@
             return None
         stored = self.progress.get(job_id)
         state = stored.value.state if stored else QUEUED
-        if job_id in self.cancels and state not in FINAL_STATES:
-            return CANCELLED
-        return state
+        if state in FINAL_STATES:
+            return state
+        if job_id in self._shown_ends:
+            return self._shown_ends[job_id]
+        return CANCELLED if job_id in self.cancels else state
+
+    def is_end_stored(self, job_id):
+        """Return whether a row says that a job has ended."""
+        stored = self.progress.get(job_id)
+        return stored is not None and stored.value.state in FINAL_STATES
+
+    def show_ends(self, ends):
+        """Show these states of jobs, {job id: state}, until rows say that they ended.
+
+        A state that callers were told stays, also if the job is cancelled later.
+        """
+        known = {**self._shown_ends, **ends}
+        self._shown_ends = {
+            job_id: state
+            for job_id, state in known.items()
+            if job_id in self.jobs and not self.is_end_stored(job_id)
+        }
+        for job_id in ends:
+            self._notify_if_ended(job_id)
 
     def is_running(self, job_id):
         """Return whether a job is active by the rows received so far."""
@@ -283,7 +311,7 @@
 
     def _is_waiting(self, job_id):
         stored = self.progress.get(job_id)
-        if job_id in self.cancels:
+        if job_id in self.cancels or job_id in self._shown_ends:
             return False
         if stored is None:
             return True
