Conclude that a worker has ended once it has left as it announced

The worker's agent left 1 s after it, so the task waited for the eviction of the agent and the longest lease, and after a loss of all VMs for both again.

--- a/packages/agent/src/samphiredeal/agent/graphs/run_manager.py
+++ b/packages/agent/src/samphiredeal/agent/graphs/run_manager.py
@@ -56,6 +56,8 @@
 # worker that has announced to leave is believed to stay: late ones say so, too.
 _CONFIRMED_AFTER = 2
 _STAYING_AFTER = 4
+# A worker may deregister this much before its announced time is over here.
+_FAREWELL_MARGIN_S = 0.1
 # Polls extend the lease for this long after the last answer. Answers may be lost for a
 # moment; a lease that is extended without end would never show that its runs are over.
 _EXTEND_UNANSWERED_S = 2.5
@@ -99,6 +101,45 @@
         self.answered_at = None
 
 
+class Departure:
+    """What an incarnation has said of its own end, and whether it has come.
+
+    A worker that leaves announces for how long it stays at least, deregisters after
+    that, and exits. Each of these may come from another process, so all have to hold,
+    and its address has to refuse connections afterwards.
+    """
+
+    def __init__(self):
+        self._life = ""
+        self._due_at = float("inf")
+        self._deregistered_at = None
+
+    def announce(self, facts, now):
+        """Record what a believed heartbeat says of leaving."""
+        if not facts.leaving:
+            self._life = ""
+        elif self._life != facts.life:
+            self._life = facts.life
+            self._due_at = now + facts.leaving_in_ms / 1000
+            self._deregistered_at = None
+
+    def deregister(self, worker_id, now):
+        """Record that a worker has deregistered; ignore it before its time."""
+        is_named = self._life.startswith(f"{worker_id}/")
+        if is_named and now >= self._due_at - _FAREWELL_MARGIN_S:
+            self._deregistered_at = now
+
+    def record_answer(self, began_at):
+        """Record that the worker has answered a call that was sent at this time."""
+        if self._deregistered_at is not None and began_at > self._deregistered_at:
+            # Another process has sent the message.
+            self._deregistered_at = None
+
+    def is_complete(self, life):
+        """Return whether an incarnation has announced its end and deregistered."""
+        return bool(life) and life == self._life and self._deregistered_at is not None
+
+
 class RunManager:
     """Manage the runs of one worker; call `on_change()` when a report is due."""
 
@@ -129,6 +170,7 @@
         self._ended_incarnation = ""
         self._lease_expiry = LeaseExpiry(clock, lease_max_s, self._extension_s)
         self._expiry_timer = None
+        self._departure = Departure()
         self._refused_connections = 0
         self._is_poll_failing = False
         self._pending_starts = {}
@@ -205,10 +247,17 @@
                 life=facts.life,
                 left_ms=facts.leaving_in_ms,
             )
+        self._departure.announce(facts, self._clock.seconds())
         self._facts = facts
         if facts != present:
             self._on_change()
 
+    def record_farewell(self, worker_id):
+        """Process the message with which a worker deregisters as it exits."""
+        self._departure.deregister(worker_id, self._clock.seconds())
+        if self._facts is None:
+            self._end_departed_incarnation()
+
     def _is_believed(self, facts, sequence):
         """Return whether to believe a heartbeat of the incarnation that is present.
 
@@ -308,6 +357,7 @@
         still reach it.
         """
         self._facts, self._sequence = claim
+        self._departure.announce(self._facts, self._clock.seconds())
         self._doubted = None
         life = self._facts.life
         if self._known_incarnation != life:
@@ -345,8 +395,8 @@
         self._claims.add_former(self._facts, self._sequence)
         self._facts = None
         self._last_poll = None
-        self._refused_connections = 0
         self._watch_expiry()
+        self._end_departed_incarnation()
         self._on_change()
 
     def _watch_expiry(self):
@@ -370,15 +420,30 @@
 
     def _end_expired_incarnation(self):
         """Report an incarnation that does not answer as ended without a lease."""
-        starts_in_doubt = {*self._pending_starts, *self._acknowledged_starts}
-        if not self._lease_expiry.is_expired(bool(starts_in_doubt)):
+        if not self._lease_expiry.is_expired(self._has_starts_in_doubt):
             return
-        life = self._known_incarnation
         if self._facts is not None:
             self._lose_worker("it has not answered until its lease had expired")
-        log_message(
-            message_type="worker_gone", life=life, evidence="its lease has expired"
-        )
+        self._end_incarnation("its lease has expired")
+
+    @property
+    def _has_starts_in_doubt(self):
+        """Whether a start may have been, or may be, carried out unseen."""
+        return bool(self._pending_starts or self._acknowledged_starts)
+
+    def _end_departed_incarnation(self):
+        """Report an incarnation as ended that has left as it announced.
+
+        A start in doubt may be carried out by the next one.
+        """
+        is_refusing = self._refused_connections >= _ABSENT_AFTER_REFUSED_CONNECTIONS
+        is_gone = self._departure.is_complete(self._known_incarnation)
+        if is_refusing and is_gone and not self._has_starts_in_doubt:
+            self._end_incarnation("it has left as announced and refuses connections")
+
+    def _end_incarnation(self, evidence):
+        life = self._known_incarnation
+        log_message(message_type="worker_gone", life=life, evidence=evidence)
         self._ended_incarnation = life
         self._known_incarnation = ""
         self._forget_orders()
@@ -685,6 +750,7 @@
     def _apply_poll(self, poll, began_at):
         """Process the lists of the incarnation that is present."""
         self._log_poll_failure("")
+        self._departure.record_answer(began_at)
         self._refused_connections = 0
         if self._worker_clock is not None and poll.clock_ms < self._worker_clock[0]:
             # A newer poll on another connection was answered first.
--- a/packages/cli/src/samphiredeal/cli/platform_roles.py
+++ b/packages/cli/src/samphiredeal/cli/platform_roles.py
@@ -96,6 +96,7 @@
 
     def on_deregister(worker_id):
         log_message(message_type="worker_farewell", worker=worker_id)
+        agent.run_manager.record_farewell(worker_id)
 
     def on_malformed(worker_id, reason):
         log_message(
