Choose places of urgent work by the chance that it ends in time

Urgent work took free capacity if it should end within 0.8 of its objective.

Cause: a point estimate against a fixed share. Now the chance to end in time is computed for each place, from the age of the job, the belief on its workers' speeds and its precision, and a spread of run times that is learnt from ends; a later start elsewhere is chosen if the chance that it gains is worth more than the work that others lose.

Also, a claim for want of room for which nothing was stopped kept a gang from looking for a better place.

--- a/packages/agent/tests/test_worker_farewell.py
+++ b/packages/agent/tests/test_worker_farewell.py
@@ -39,8 +39,8 @@
     return bench.clock.seconds() - began_at
 
 
-# A task on a worker that had left was lost with its agent and started again 18.7 s later,
-# once an eviction and the longest lease had passed (inc-short, fifth report, trouble-3
+# A task on a worker that had left was lost with its agent and started again 18.7 s
+# later, after an eviction and the longest lease (inc-short, fifth report, trouble-3
 # --seed 85006; LOST on sick-workers --seed 879688843848).
 @pytest.mark.parametrize("is_farewell_late", [False, True])
 def test_worker_that_left_as_announced_has_ended(is_farewell_late):
--- a/packages/policy/src/samphiredeal/policy/graphs/reclaim.py
+++ b/packages/policy/src/samphiredeal/policy/graphs/reclaim.py
@@ -37,9 +37,12 @@
     return member_cores(unit) * unit.count * unit.expected_s
 
 
-def value_of_time(unit, seconds):
-    """Return how many core-seconds of other work an urgent unit's time is worth."""
-    return _URGENT_TIME_FACTOR * member_cores(unit) * unit.count * seconds
+def value_in_time(unit):
+    """Return how many core-seconds of other work it is worth that a job ends in time.
+
+    An urgent job that does has about this many times the value of a late one.
+    """
+    return _URGENT_TIME_FACTOR * required_core_s(unit)
 
 
 def lost_core_s(unit, now):
--- a/packages/policy/src/samphiredeal/policy/graphs/reports.py
+++ b/packages/policy/src/samphiredeal/policy/graphs/reports.py
@@ -237,6 +237,7 @@
     if ended.checkpoint and ended.run >= unit.run:
         unit.checkpoint = ended.checkpoint
     if ended.how == runs.DONE and not unit.spec.lasting:
+        _record_forecast(scheduler, unit, ended.run, now)
         _finish_unit(unit, worker, now)
     elif ended.how == runs.FAILED:
         started_at = placement.running_since if is_current else None
@@ -247,6 +248,15 @@
     unit.job.close_finished(now, unit.occurrence)
 
 
+def _record_forecast(scheduler, unit, run, now):
+    """Record how long a run took beside what was expected of it."""
+    forecast, unit.forecast = unit.forecast, None
+    if forecast is not None and forecast.run == run:
+        scheduler.run_spread.record(
+            forecast.run_s, now - forecast.placed_at, forecast.speed_deviation
+        )
+
+
 def _finish_unit(unit, worker, now):
     if not unit.done:
         unit.done = True
--- a/packages/policy/src/samphiredeal/policy/graphs/scheduler.py
+++ b/packages/policy/src/samphiredeal/policy/graphs/scheduler.py
@@ -4,6 +4,7 @@
 of a plan only after the progress of their jobs is stored.
 """
 
+import math
 from typing import NamedTuple
 
 from samphiredeal.model.runs import StartOrder
@@ -18,6 +19,7 @@
     waiting,
 )
 from samphiredeal.policy.graphs import reports as reporting
+from samphiredeal.policy.graphs.chances import RunSpread, in_time_chance
 from samphiredeal.policy.graphs.headroom import Headroom, fastest_workers
 from samphiredeal.policy.graphs.speeds import WorkerSpeeds
 from samphiredeal.policy.graphs.state import (
@@ -25,6 +27,7 @@
     FAILED,
     LISTED,
     ORDERED,
+    Forecast,
     JobState,
     Placement,
     WorkerState,
@@ -79,6 +82,7 @@
         self.guarantees = {}
         self.tickets = Tickets()
         self.speeds = WorkerSpeeds()
+        self.run_spread = RunSpread()
         self._refresh_limit = measuring.RefreshLimit()
         self._first_report_at = None
         self._moves_due_at = float("-inf")
@@ -587,22 +591,38 @@
         if not unit.job.urgent or unit.spec.lasting:
             return False
         usable = {one.name: one for one in workers}
+
+        def chance_at(places, delay_s):
+            outlook = sooner.outlook(
+                unit, places, usable, self._far_factor, context, delay_s
+            )
+            deviation = self._speed_deviation(places)
+            return in_time_chance(
+                outlook, math.hypot(self.run_spread.deviation, deviation)
+            )
+
+        here = chance_at(places, 0.0)
+        if sooner.is_almost_certain(here):
+            return False
         if unit.claim:
-            return sooner.should_wait(unit, places, usable, self._far_factor, now)
+            if sooner.should_wait(unit, here, usable, chance_at, now):
+                return True
+            if unit.has_displaced:
+                # Its victims are stopping. To start at once is the best now.
+                return False
         if now - unit.ready_since >= sooner.WAIT_MAX_S:
             return False
-        here_s = sooner.run_s(unit, places, usable, self._far_factor)
-        if sooner.is_safe(unit, here_s, context):
-            return False
         rule = reclaim.preemption_rule(unit, self._covered_jobs(), now)
-        options = [
-            sooner.find_awaited(unit, places, usable, self._far_factor, now),
-            sooner.find_displacing(unit, places, usable, rule, self._far_factor, now),
-        ]
-        options = [option for option in options if option is not None]
-        if not options:
+        best = sooner.best_option(
+            unit,
+            here,
+            (
+                sooner.find_awaited(unit, usable, chance_at, self._far_factor, now),
+                sooner.find_displacing(unit, usable, chance_at, rule, now),
+            ),
+        )
+        if best is None:
             return False
-        best = max(options, key=lambda option: option.gain_s)
         self._log_entries.append(
             Note(
                 "unit_postponed",
@@ -611,7 +631,9 @@
                     "unit": unit.key,
                     "free": places,
                     "awaited": best.places,
-                    "gain_s": round(best.gain_s, 3),
+                    "chance": round(here, 3),
+                    "chance_awaited": round(best.chance, 3),
+                    "cost": round(best.cost, 1),
                     "displaced": len(best.victims),
                 },
             )
@@ -621,6 +643,10 @@
         self._stop_victims(unit, best.victims)
         return True
 
+    def _speed_deviation(self, places):
+        """Return how uncertain the speeds of some places are, by the worst of them."""
+        return max(self.speeds.deviation_of(name) for name in places)
+
     def _usable_workers(self, unit, is_usable):
         """Return the healthy usable workers, or all if those could not hold the unit.
 
@@ -680,6 +706,14 @@
             placement = Placement(unit, index, worker, unit.run, now)
             unit.placements[index] = placement
             worker.add(placement)
+        if unit.job.urgent:
+            unit.forecast = Forecast(
+                unit.run,
+                now,
+                sooner.run_s(unit, places, self.workers, self._far_factor),
+                self._speed_deviation(places),
+            )
+        unit.has_displaced = False
         unit.job.touch(unit)
         waited_s = now - unit.ready_since
         unit.job.longest_wait_s = max(unit.job.longest_wait_s, waited_s)
@@ -726,6 +760,7 @@
         self._stop_victims(unit, found.victims)
 
     def _stop_victims(self, unit, victims):
+        unit.has_displaced = unit.has_displaced or bool(victims)
         for victim in victims:
             self._stop(victim, f"its room is reclaimed for job {unit.job.id}")
 
--- a/packages/policy/src/samphiredeal/policy/graphs/sooner.py
+++ b/packages/policy/src/samphiredeal/policy/graphs/sooner.py
@@ -2,20 +2,19 @@
 
 Urgent work has little time to spare, and the fastest workers are often full of work
 that could wait or run elsewhere. It then waits for runs that are about to end there, or
-takes their places, if that ends sooner and costs others less than it gains. A run that
-can be resumed and would end late moves to a faster worker once one has room.
+takes their places, if the chance that it gains to end in time is worth more than what
+others lose. A run that can be resumed and would end late moves to a faster worker once
+one has room.
 """
 
 from typing import NamedTuple
 
 from samphiredeal.policy.graphs import fitting, ordering, reclaim
+from samphiredeal.policy.graphs.chances import Outlook
 from samphiredeal.policy.graphs.state import LISTED
 
-# Work that ends within this share of its objective starts at once: the rest is left for
-# an outage or a loss on the way.
-_SAFE_SHARE = 0.8
-# What another start has to gain at least: estimates are off by a sixth.
-_MIN_GAIN_S = 0.3
+# What another start has to gain at least, as a chance to end in time.
+_MIN_GAIN = 0.03
 # Times at which awaited capacity is looked for. Work within its account's guarantee
 # must begin within 2.7 s, preemption included.
 _AWAITED_S = (0.25, 0.5, 0.8)
@@ -33,15 +32,16 @@
 
 
 class Option(NamedTuple):
-    """Where a unit could start instead, and how much sooner it would end.
+    """Where a unit could start instead, and the chance that its job ends in time then.
 
-    `victims` are the units to stop for it, and `free_in_s` when the places are expected
-    to be free.
+    `victims` are the units to stop for it, `cost` the work that they lose in
+    core-seconds, and `free_in_s` when the places are expected to be free.
     """
 
-    gain_s: float
+    chance: float
     places: dict
     victims: list
+    cost: float
     free_in_s: float
 
 
@@ -53,9 +53,18 @@
     return unit.expected_s * cost
 
 
-def is_safe(unit, expected_run_s, context):
-    """Return whether a unit that starts now ends well within its objective."""
-    return ends_within(unit, expected_run_s, context, _SAFE_SHARE)
+def outlook(unit, places, workers, far_factor, context, delay_s):
+    """Return the `Outlook` of a unit that starts at some places after a delay."""
+    job = unit.job
+    path_s = ordering.remaining_path_s(job.record.spec, unit.step) / job.pace
+    return Outlook(
+        ordering.age_s(unit, context) + delay_s,
+        run_s(unit, places, workers, far_factor),
+        # What is left after this step takes as long as on an average worker.
+        path_s - unit.expected_s,
+        job.record.stretch * ordering.critical_path_s(job, context),
+        job.record.target_latency_ms / 1000,
+    )
 
 
 def ends_within(unit, expected_run_s, context, share):
@@ -67,9 +76,34 @@
     return ordering.age_s(unit, context) + expected_run_s + rest_s <= limit_s
 
 
-def find_awaited(unit, places, workers, far_factor, now):
-    """Return the best `Option` to wait for runs that are about to end, or None."""
-    here_s = run_s(unit, places, workers, far_factor)
+def is_almost_certain(chance):
+    """Return whether no other start could gain enough."""
+    return chance > 1 - _MIN_GAIN
+
+
+def best_option(unit, here, options):
+    """Return the `Option` that is worth more than to start at once, or None.
+
+    `here` is the chance to end in time of a start at once. The work that others lose
+    counts against the value that the job has in time.
+    """
+    value = reclaim.value_in_time(unit)
+
+    def gain(option):
+        return (option.chance - here) * value - option.cost
+
+    options = [one for one in options if one is not None]
+    best = max(options, key=gain, default=None)
+    if best is None or gain(best) < _MIN_GAIN * value:
+        return None
+    return best
+
+
+def find_awaited(unit, workers, chance_at, far_factor, now):
+    """Return the best `Option` to wait for runs that are about to end, or None.
+
+    `chance_at(places, delay_s)` returns the chance to end in time.
+    """
     usable = list(workers.values())
     best = None
     for wait_s in _AWAITED_S:
@@ -84,25 +118,23 @@
         )
         if found is None:
             continue
-        gain_s = here_s - wait_s - run_s(unit, found, workers, far_factor)
-        if gain_s >= _MIN_GAIN_S and (best is None or gain_s > best.gain_s):
-            best = Option(gain_s, found, [], wait_s)
+        # They may go on for a while.
+        chance = chance_at(found, wait_s + _PATIENCE_S / 2)
+        if best is None or chance > best.chance:
+            best = Option(chance, found, [], 0.0, wait_s)
     return best
 
 
-def find_displacing(unit, places, workers, may_preempt, far_factor, now):
-    """Return the `Option` to displace other work, or None if that costs too much.
+def find_displacing(unit, workers, chance_at, may_preempt, now):
+    """Return the `Option` to displace other work, or None if there is none.
 
-    See `reclaim.preemption_rule` for `may_preempt`.
+    See `reclaim.preemption_rule` for `may_preempt`, and `find_awaited` for `chance_at`.
     """
     found = reclaim.find_victims(unit, list(workers.values()), may_preempt, False, now)
     if found is None or not found.victims:
         return None
-    gain_s = run_s(unit, places, workers, far_factor) - DISPLACE_S
-    gain_s -= run_s(unit, found.places, workers, far_factor)
-    if gain_s < _MIN_GAIN_S or found.cost > reclaim.value_of_time(unit, gain_s):
-        return None
-    return Option(gain_s, found.places, found.victims, DISPLACE_S)
+    chance = chance_at(found.places, DISPLACE_S)
+    return Option(chance, found.places, found.victims, found.cost, DISPLACE_S)
 
 
 def claim_deadline(free_in_s, unit, now):
@@ -111,15 +143,14 @@
     return min(now + free_in_s + _PATIENCE_S, latest)
 
 
-def should_wait(unit, places, workers, far_factor, now):
+def should_wait(unit, here, workers, chance_at, now):
     """Return whether a unit waits for the capacity that it claims.
 
-    `places` are those that it could take now.
+    `here` is the chance to end in time of a start at once.
     """
     if now >= unit.claimed_until or not unit.claim.keys() <= workers.keys():
         return False
-    claimed_s = run_s(unit, unit.claim, workers, far_factor)
-    return claimed_s + _MIN_GAIN_S / 2 < run_s(unit, places, workers, far_factor)
+    return chance_at(unit.claim, 0.0) > here
 
 
 def late_resumable_units(jobs, workers, fastest, far_factor, context):
--- a/packages/policy/src/samphiredeal/policy/graphs/speeds.py
+++ b/packages/policy/src/samphiredeal/policy/graphs/speeds.py
@@ -136,6 +136,10 @@
         """Return a worker's expected speed, relative to an average worker."""
         return self.belief(worker).speed
 
+    def deviation_of(self, worker):
+        """Return the standard deviation of the logarithm of a worker's speed."""
+        return 1 / math.sqrt(self.belief(worker).precision)
+
     def pace_of(self, job_id):
         """Return the expected work per second of a job on an average worker."""
         job = self._jobs.get(job_id)
--- a/packages/policy/src/samphiredeal/policy/graphs/state.py
+++ b/packages/policy/src/samphiredeal/policy/graphs/state.py
@@ -5,6 +5,8 @@
 known not to run it any more.
 """
 
+from typing import NamedTuple
+
 from samphiredeal.model.graph import MAX_TASKS, TaskName
 from samphiredeal.model.shape import NOTHING, Shape
 
@@ -110,6 +112,18 @@
         return TaskName(unit.job.id, unit.occurrence, unit.step, self.index).text
 
 
+class Forecast(NamedTuple):
+    """What was expected of a run as it was placed, in seconds.
+
+    `speed_deviation` is that of the logarithm of the speed of its workers.
+    """
+
+    run: int
+    placed_at: float
+    run_s: float
+    speed_deviation: float
+
+
 class Unit:
     """A task or a gang of one occurrence of a job's step."""
 
@@ -121,6 +135,8 @@
         "done_at",
         "failed_on",
         "failures",
+        "forecast",
+        "has_displaced",
         "indexes",
         "job",
         "occurrence",
@@ -152,6 +168,10 @@
         self.claim = {}
         # Until when the unit waits for it although other capacity is free.
         self.claimed_until = 0.0
+        # Whether runs were stopped for the claim.
+        self.has_displaced = False
+        # The `Forecast` of the present run.
+        self.forecast = None
         # The last run of which all members were listed at the same time.
         self.whole_run = 0
 
