Start no work that can wait while urgent work awaits faster workers

Cause: room for urgent work was kept by the urgent work started before, which a new scheduler does not know, and not for urgent work that waits.

--- a/packages/policy/src/samphiredeal/policy/graphs/scheduler.py
+++ b/packages/policy/src/samphiredeal/policy/graphs/scheduler.py
@@ -92,6 +92,8 @@
         self._found_units = None
         # Speeds of the runs of a step, collected once for each plan.
         self._step_speeds = {}
+        # Whether urgent work awaits the reports of faster workers, in this plan.
+        self._is_urgent_work_awaiting = False
 
     # Events from the host
 
@@ -255,6 +257,7 @@
             key=lambda unit: ordering.rank(unit, unit.job.id in covered, context),
         )
         self._drop_stale_claims()
+        self._is_urgent_work_awaiting = False
         blocked = set()
         for unit in units:
             group = (unit.job.id, unit.step, tuple(unit.failed_on))
@@ -550,6 +553,10 @@
         )
         spared = set()
         if waiting.has_slack(unit, context):
+            if self._is_urgent_work_awaiting:
+                # It may need any of the workers that have reported.
+                self._record_wait(unit, waiting.FOR_URGENT_WORK)
+                return False
             spared = fastest_workers(workers, self._headroom.share(now))
         places = fitting.find_places(
             unit, workers, available_on, self._far_factor, remote_allowed, spared
@@ -569,6 +576,9 @@
             unit, places, self.workers, now - (self._first_report_at or 0.0)
         ):
             self._record_wait(unit, waiting.FOR_FASTER_WORKERS)
+            if unit.job.urgent:
+                self._is_urgent_work_awaiting = True
+                self._headroom.record(unit, fitting.capacity_of(workers).whole, now)
             return False
         elif self._ends_sooner_elsewhere(unit, places, workers, now, context):
             return False
