--- a/bench/ceiling.py
+++ b/bench/ceiling.py
@@ -34,8 +34,8 @@
 
 # Name, asked, in time, late, refused, failed, not owed, share of value.
 _SUMMARY_ROW = re.compile(
-    r"(?P<name>[\w-]+) +\d+ +\d+ +\d+ +(?P<refused>\d+) +(?P<failed>\d+) +\d+"
-    r" +(?P<earned>[\d.]+) "
+    r"(?P<name>[\w-]+) +(?P<asked>\d+) +\d+ +\d+ +(?P<refused>\d+) +(?P<failed>\d+)"
+    r" +(?P<not_owed>\d+) +(?P<earned>[\d.]+) "
 )
 _BASE_WEIGHT, _WORK_WEIGHT, _MAX_WEIGHT = 0.3, 0.7, 4.0
 
@@ -44,7 +44,8 @@
     """What a group of jobs earned and could have earned at best, of what is owed.
 
     `lost` has the ids of the jobs of which nobody could have earned all, `unreached`
-    is the number of requests that reached no entry.
+    is the number of requests that reached no entry. Unless `is_complete`, the log has
+    other jobs of the group than the benchmark counted, and the ceiling may be wrong.
     """
 
     name: str
@@ -54,6 +55,7 @@
     floor: float | None
     lost: tuple
     unreached: int = 0
+    is_complete: bool = True
 
     @property
     def is_short(self):
@@ -219,8 +221,12 @@
 
 
 class Summary(NamedTuple):
-    """What the benchmark counted of a group: jobs not served, and the share earned."""
+    """What the benchmark counted of a group.
 
+    How many jobs are owed, how many of these were not served, and the share earned.
+    """
+
+    owed: int
     failed: int
     earned: float
 
@@ -229,14 +235,15 @@
     """Return {kind or zone: `Summary`} by the tables that a play prints at its end.
 
     >>> read_summary(["slot-hold      7   5   0   1   1   1  0.921  5396.8  12175.3"])
-    {'slot-hold': Summary(failed=2, earned=0.921)}
+    {'slot-hold': Summary(owed=6, failed=2, earned=0.921)}
     """
     summary = {}
     for line in lines:
         row = _SUMMARY_ROW.match(line)
         if row:
             failed = int(row["refused"]) + int(row["failed"])
-            summary[row["name"]] = Summary(failed, float(row["earned"]))
+            owed = int(row["asked"]) - int(row["not_owed"])
+            summary[row["name"]] = Summary(owed, failed, float(row["earned"]))
     return summary
 
 
@@ -256,7 +263,7 @@
         owed = sum(one.owed for one in group)
         owed_at_best = sum(one.owed_at_best for one in group)
         refused = sum(1 for one in group if one.owed and not one.is_served)
-        counted = summary.get(name, Summary(refused, None))
+        counted = summary.get(name, Summary(None, refused, None))
         unreached = max(0, counted.failed - refused)
         if unreached and group:
             value = statistics.mean(one.value for one in group)
@@ -264,6 +271,7 @@
             owed_at_best += unreached * value
         if not owed and not owed_at_best:
             continue
+        found = sum(1 for one in group if one.owed) + unreached
         earned = counted.earned
         if earned is None:
             earned = sum(one.earned for one in group) / owed if owed else 1.0
@@ -273,10 +281,11 @@
                 name,
                 earned,
                 max(earned, best),
-                sum(1 for one in group if one.owed) + unreached,
+                found if counted.owed is None else counted.owed,
                 floor,
                 tuple(one.job for one in group if one.best < one.owed_at_best),
                 unreached,
+                counted.owed in (None, found),
             )
         )
     return shares
@@ -313,6 +322,8 @@
             lost = f" not in full: {' '.join(share.lost)}" if share.lost else ""
             if share.unreached:
                 lost += f" {share.unreached} reached no entry"
+            if not share.is_complete:
+                lost += " (counted otherwise by the benchmark)"
             print(
                 f"{path} {share.name:20} earned {share.earned:.2f},"
                 f" ceiling {share.ceiling:.2f}, {floor},"
--- a/tests/test_ceiling.py
+++ b/tests/test_ceiling.py
@@ -182,7 +182,7 @@
 
 
 def test_requests_that_reached_no_entry_are_those_of_the_summary_only():
-    summary = {"hold": Summary(2, 0.3), "a": Summary(1, 0.5)}
+    summary = {"hold": Summary(3, 2, 0.3), "a": Summary(2, 1, 0.5)}
     shares = day_with(served("j1"), refused("r1"), summary=summary)
     assert shares["hold"].unreached == 1
     assert shares["hold"].ceiling == pytest.approx(1 / 3)
@@ -190,9 +190,10 @@
 
 
 def test_share_that_the_benchmark_counted_goes_first():
-    summary = {"hold": Summary(0, 0.66), "a": Summary(0, 1.0)}
+    summary = {"hold": Summary(1, 0, 0.66), "a": Summary(2, 0, 1.0)}
     shares = day_with(served("j1", age_s=9.0), summary=summary)
     assert (shares["hold"].earned, shares["hold"].ceiling) == (0.66, 1.0)
+    assert (shares["hold"].is_complete, shares["a"].is_complete) == (True, False)
 
 
 def test_site_file_is_read(tmp_path):
