--- a/bench/graph_drive.py
+++ b/bench/graph_drive.py
@@ -150,6 +150,10 @@
         self._set_slowdowns()
 
     def _report(self, name, poll_count):
+        report = self._make_report(name, poll_count)
+        self._scheduler.apply_report(name, report, self.now)
+
+    def _make_report(self, name, poll_count):
         listed = tuple(
             Running(
                 running.task, running.run, _checkpoint(running),
@@ -159,10 +163,13 @@
         )  # fmt: skip
         ended = tuple(self._completions[name])
         self._completions[name] = []
-        report = Report(
+        return Report(
             self._worker_facts[name], looks=poll_count // 8, running=listed, ended=ended
         )
-        self._scheduler.apply_report(name, report, self.now)
+
+    def _progress_of(self, name):
+        """Return the work that a worker does in a second."""
+        return self._speeds[name]
 
     def _start(self, name, order):
         task = parse_task_name(order.task)
@@ -200,7 +207,7 @@
                 if running.stops_at is not None and self.now >= running.stops_at:
                     self._end_run(name, key, runs.STOPPED)
                     continue
-                running.left_s -= STEP_S * self._speeds[name] / running.slowdown
+                running.left_s -= STEP_S * self._progress_of(name) / running.slowdown
                 if running.step.gang:
                     gang = (running.name.job, running.name.step)
                     group = done_gangs.setdefault(gang, [])
@@ -239,7 +246,7 @@
         total, earned, by_kind = 0.0, 0.0, {}
         job_works = {}
         for job in self._jobs:
-            job_works.setdefault(job.kind.name, []).append(_job_work(job))
+            job_works.setdefault(job.kind.name, []).append(job_work(job))
         for job in self._jobs:
             if (
                 job.cancelled_at is not None
@@ -247,7 +254,7 @@
             ):
                 continue
             mean = sum(job_works[job.kind.name]) / len(job_works[job.kind.name])
-            weight = min(MAX_JOB_WEIGHT, 0.3 + 0.7 * _job_work(job) / mean)
+            weight = min(MAX_JOB_WEIGHT, 0.3 + 0.7 * job_work(job) / mean)
             total += weight * job.kind.worth
             value = weight * self._value_of(job)
             earned += value
@@ -301,7 +308,8 @@
     return f"{saved_s:.3f}" if saved_s else ""
 
 
-def _job_work(job):
+def job_work(job):
+    """Return the work of a job in core-seconds."""
     total = 0.0
     for (number, _index), work_s in job.work_s.items():
         total += work_s * job.record.spec.steps[number].shape.cores
