--- a/packages/entry/src/samphiredeal/entry/graphs/call_handler.py
+++ b/packages/entry/src/samphiredeal/entry/graphs/call_handler.py
@@ -8,6 +8,7 @@
 from twisted.internet.task import deferLater
 
 from samphiredeal.entry.graphs import work
+from samphiredeal.entry.graphs.first_tries import FirstTries
 from samphiredeal.entry.graphs.in_doubt import InDoubtCalls
 from samphiredeal.entry.graphs.write_resolver import WriteResolver
 from samphiredeal.model import answers
@@ -72,6 +73,7 @@
         self._store_health = store_health
         self._write_resolver = WriteResolver(clock, table, store_health)
         self._in_doubt = InDoubtCalls(clock)
+        self._first_tries = FirstTries(clock)
         self._config_max_age_s = config_max_age_s
         self._relay = relay
         self._in_flight = 0
@@ -85,6 +87,7 @@
         """Return the `JobAnswer` to a `Call`, and log the decision."""
         self._in_flight += 1
         began_at = self._clock.seconds()
+        self._record_try(call)
         try:
             if not self._store_health.is_healthy:
                 answer = await self._answer_without_store(call)
@@ -109,6 +112,7 @@
         time is short, and a write would probably remain in doubt.
         """
         began_at = self._clock.seconds()
+        self._record_try(call)
         if self._store_health.is_prompt:
             self._in_flight += 1
             try:
@@ -123,6 +127,10 @@
         self._log_answer(call, answer, began_at)
         return answer
 
+    def _record_try(self, call):
+        if call.verb == answers.SUBMIT:
+            self._first_tries.record(call)
+
     async def _answer_without_store(self, call):
         """Answer by an entry that can reach the store, if any, else from memory."""
         began_at = self._clock.seconds()
@@ -203,6 +211,7 @@
 
     async def _submit(self, call, queue, job_id):
         if job_id in self._view.jobs:
+            self._first_tries.forget(call)
             return JobAnswer(answers.ACCEPTED)
         limit = self._operations.directory.operations.max_body_bytes
         if len(call.body) > limit:
@@ -222,7 +231,7 @@
             max_attempts=queue.max_attempts,
             stretch=queue.stretch,
             target_latency_ms=queue.target_latency_ms,
-            accepted_ms=self._wall_ms(),
+            accepted_ms=self._wall_ms() - round(self._first_tries.age_s(call) * 1000),
             spec=spec,
             advice=queue.advice,
         )
@@ -236,6 +245,7 @@
             call, [Condition(key, 0)], [Put(key, value)]
         )
         if isinstance(answer, Committed | Conflict):
+            self._first_tries.forget(call)
             return JobAnswer(answers.ACCEPTED)
         _log_not_stored(record, answer)
         return self._store_refusal(answer)
--- a/packages/model/src/samphiredeal/model/graph.py
+++ b/packages/model/src/samphiredeal/model/graph.py
@@ -76,8 +76,9 @@
     """An accepted job as stored; it never changes.
 
     Attributes of the queue have their values from when the job was accepted.
-    `accepted_ms` is Unix time on the accepting entry's clock. If `advice` is
-    set, a worker runs a step of the job only with a ticket.
+    `accepted_ms` is Unix time on the accepting entry's clock; if the caller was refused
+    before, that of the first try that the entry knows of. If `advice` is set, a worker
+    runs a step of the job only with a ticket.
     """
 
     id: str
