--- a/packages/entry/src/samphiredeal/entry/graphs/peer_query.py
+++ b/packages/entry/src/samphiredeal/entry/graphs/peer_query.py
@@ -5,7 +5,7 @@
 from twisted.internet.defer import Deferred
 
 from samphiredeal.platform.table import within
-from samphiredeal.wire.messages import Ask, AskReply
+from samphiredeal.wire.messages import AskReply
 
 # Connections between entries either succeed within milliseconds or hang.
 _CONNECT_TIMEOUT_S = 0.2
@@ -38,7 +38,7 @@
     replied = Deferred()
     link.on_message = lambda _link, message: _deliver(replied, message)
     link.on_lost = lambda _link: _deliver(replied, None)
-    link.send(Ask(*ask))
+    link.send(ask)
     reply = await within(clock, give_up_at - clock.seconds(), replied)
     link.close()
     return reply.document if isinstance(reply, AskReply) else NoReply()
--- a/tests/graph_world.py
+++ b/tests/graph_world.py
@@ -342,6 +342,12 @@
     return world
 
 
+def set_store_silent(world, silent, names=None):
+    """Make the store silent, or not, for some nodes or for all."""
+    for name in names or world.nodes:
+        world.nodes[name].faults.silent = silent
+
+
 def check_invariants(world):
     """Check that no task overlapped itself and no worker exceeded its capacity."""
     assert world.event_log.overlaps() == []
--- a/tests/test_ends_in_silence.py
+++ b/tests/test_ends_in_silence.py
@@ -10,7 +10,7 @@
 import msgspec
 import pytest
 from graph_builders import make_record
-from graph_world import make_graph_world
+from graph_world import make_graph_world, set_store_silent
 from twisted.internet.defer import succeed
 from twisted.internet.task import Clock
 
@@ -47,11 +47,6 @@
         pass
 
 
-def set_store_silent(world, silent, names=None):
-    for name in names or world.nodes:
-        world.nodes[name].faults.silent = silent
-
-
 def make_world_with_end(silent=None, entries=3, steps=(STEP,)):
     """Return a world in which the task of a1 ends while the store is silent.
 
--- a/tests/test_first_tries.py
+++ b/tests/test_first_tries.py
@@ -5,8 +5,8 @@
 """
 
 import pytest
-from graph_world import make_graph_world
-from test_silent_store import STEP, set_store_silent, submit
+from graph_world import make_graph_world, set_store_silent
+from test_silent_store import STEP, submit
 from twisted.internet.task import Clock
 
 from samphiredeal.entry.graphs.first_tries import FirstTries
--- a/tests/test_silent_store.py
+++ b/tests/test_silent_store.py
@@ -8,7 +8,7 @@
 
 import msgspec
 import pytest
-from graph_world import make_graph_world
+from graph_world import make_graph_world, set_store_silent
 
 from samphiredeal.model import answers
 
@@ -18,11 +18,6 @@
 DELAYS_S = [0.12, 0.2, 0.35, 0.5, 0.65, 0.8, 0.95, 1.1, 1.4]
 
 
-def set_store_silent(world, silent):
-    for node in world.nodes.values():
-        node.faults.silent = silent
-
-
 def make_world_in_outage(elapsed_s):
     """Return a world whose store has been silent for some time."""
     world = make_graph_world()
--- a/tests/test_store_return.py
+++ b/tests/test_store_return.py
@@ -2,7 +2,7 @@
 
 import msgspec
 import pytest
-from graph_world import make_graph_world
+from graph_world import make_graph_world, set_store_silent
 
 from samphiredeal.model import answers
 
@@ -13,11 +13,6 @@
 RETRY_INTERVAL_S = 0.3
 
 
-def set_store_silent(world, silent):
-    for node in world.nodes.values():
-        node.faults.silent = silent
-
-
 def advance(world, seconds):
     """Advance the time in steps short enough to deliver messages in between."""
     for _ in range(round(seconds / 0.002)):
