Hold callers with few tries left for one more probe of a silent store

The entry that they came back to had lost power 0.2 to 0.4 s after the return, and its zone has no other one in rotation then; the last tries found no connection.

Cause: only callers with under 1 s left were held for another probe, on the assumption that the others come back in time. Each try left is a chance that the store is back and an entry is up; a probe takes 0.3 s at most, and less than half of the caller's time.

--- a/packages/entry/src/samphiredeal/entry/graphs/call_handler.py
+++ b/packages/entry/src/samphiredeal/entry/graphs/call_handler.py
@@ -43,6 +43,8 @@
 # a long one. Callers get it in whole seconds, so there is no shorter one.
 _RETRY_AFTER_MIN_S = 1.0
 _RETRY_AFTER_MAX_S = 4.0
+# A caller with less time left has one or two tries left, and may find no entry up then.
+_LAST_TRIES_S = 1.5
 # What a caller's last try needs of its time.
 _LAST_TRY_S = 0.3
 
@@ -156,11 +158,11 @@
         return answer._replace(retry_after_s=delay_s)
 
     async def _wait_for_probe(self, call, began_at):
-        """Wait for one more probe of the store if the caller cannot come back in time.
+        """Wait for one more probe of the store if the caller has few tries left.
 
         A caller with more time is refused at once, and retries later.
         """
-        if call.wait_s > _RETRY_AFTER_MIN_S:
+        if call.wait_s > _LAST_TRIES_S:
             return
         wait_s = min(_PROBE_TIMEOUT_S, _PROBE_TIME_SHARE * call.wait_s)
         give_up_at = began_at + wait_s
