--- a/tests/test_silent_store.py
+++ b/tests/test_silent_store.py
@@ -131,6 +131,21 @@
     assert answers_received[0].kind == answers.NOT_DONE
 
 
+# Callers with 0.37 and 0.23 s left were told after 0.48 of that; with the way to the
+# entry and back it was over half of their time (inc-short, fifth report, trouble-3
+# --seed 89040 and 87040).
+@pytest.mark.parametrize("wait_s", [0.233, 0.37])
+def test_last_try_is_answered_within_half_of_its_time_links_included(wait_s):
+    world = make_world_in_outage(3.0)
+    answers_received = world.call(
+        "e0", answers.SUBMIT, "/normal/a1", BODY, wait_s=wait_s
+    )
+    # 3 ms each way, and as long in the processes at both ends.
+    for _ in range(200):
+        world.clock.advance((wait_s * 0.5 - 0.012) / 200)
+    assert answers_received
+
+
 # Two callers with 1.2 s left were refused 0.25 s before the return of the store, and
 # came back to an entry that had lost power meanwhile (inc-short, fifth report,
 # trouble-3 --seed 89030 and 89040).
