--- a/packages/entry/src/samphiredeal/entry/graphs/unstored_ends.py
+++ b/packages/entry/src/samphiredeal/entry/graphs/unstored_ends.py
@@ -113,9 +113,10 @@
             offered.addErrback(self._offer_failed)
 
     def _known_to(self, name):
-        """Return the ends that an entry has confirmed; those of a restarted one count.
+        """Return the ends that an entry has been told to show.
 
-        It answers no calls before it has heard the store.
+        One that has restarted since has forgotten them, but it answers no calls before
+        it has heard the store.
         """
         return self._confirmed.get(name, {})
 
