--- a/packages/entry/src/samphiredeal/entry/graphs/call_handler.py
+++ b/packages/entry/src/samphiredeal/entry/graphs/call_handler.py
@@ -299,6 +299,15 @@
         wait_s = _retry_after_s(self._store_health.rows_age_s)
         return JobAnswer(answers.UNSETTLED, reason=reason, retry_after_s=wait_s)
 
+    def _state_version(self, call, answer):
+        """Return the version of the row that an answered state rests on, or 0.
+
+        It is 0 for a job without progress, and for a state of another entry.
+        """
+        if answer.kind != answers.STATE:
+            return 0
+        return self._view.version_of_state(call.path.rpartition("/")[2])
+
     def _log_answer(self, call, answer, began_at):
         log_message(
             message_type="call_answered",
@@ -307,6 +316,8 @@
             path=call.path[:120],
             answer=answer.kind,
             state=answer.state,
+            state_version=self._state_version(call, answer),
+            rows_age_s=round(self._store_health.rows_age_s, 3),
             reason=answer.reason[:200],
             retry_after_s=answer.retry_after_s,
             patience_s=round(call.wait_s, 3),
--- a/packages/entry/src/samphiredeal/entry/graphs/dispatcher.py
+++ b/packages/entry/src/samphiredeal/entry/graphs/dispatcher.py
@@ -91,8 +91,22 @@
     def start(self):
         """Load all stored jobs and connect to all workers."""
         self.view_changed()
+        self._log_term()
         self._tick()
 
+    def _log_term(self):
+        """Log what this scheduler knows of the jobs as its term begins."""
+        jobs = self._scheduler.jobs.values()
+        log_message(
+            message_type="term_began",
+            epoch=self._leadership.epoch,
+            jobs=len(jobs),
+            active=sum(job.active for job in jobs),
+            ends_by_rows=sum(self._view.is_end_stored(job.id) for job in jobs),
+            ends_taken_over=sorted(self._host.unstored_ends.held),
+            rows_version=self._host.rows_version(),
+        )
+
     def stop(self):
         """Stop at once; send and store nothing more."""
         self._stopped = True
--- a/packages/entry/src/samphiredeal/entry/graphs/node.py
+++ b/packages/entry/src/samphiredeal/entry/graphs/node.py
@@ -58,6 +58,7 @@
     operations_age_s: object
     is_store_silent: object
     store_ms: object
+    rows_version: object
     connect: object
     wall_ms: object
     far_factor: float
@@ -157,6 +158,7 @@
             lambda: self._operator_follower.age_s,
             lambda: self._work_follower.is_unresponsive,
             lambda: self._work_follower.store_ms,
+            lambda: self._work_follower.version,
             connect,
             self._wall_clock.unix_ms,
             bounds.far_factor,
--- a/packages/entry/src/samphiredeal/entry/graphs/unstored_ends.py
+++ b/packages/entry/src/samphiredeal/entry/graphs/unstored_ends.py
@@ -205,9 +205,11 @@
         if not set(offer.ends.values()) <= set(SHOWN_STATES):
             return Response(is_accepted=False, reason="not a state that tasks end in")
         if offer.is_confirmed:
-            self._view.show_ends(
-                {one: state for one, state in offer.ends.items() if one in self._held}
-            )
+            shown = {
+                one: state for one, state in offer.ends.items() if one in self._held
+            }
+            self._log_held("unstored_ends_shown", offer, shown)
+            self._view.show_ends(shown)
             return Response(is_accepted=True)
         if not self._store_health.is_silent:
             return Response(is_accepted=False, reason="the store answers here")
@@ -216,4 +218,13 @@
             for job_id, state in {**self._held, **offer.ends}.items()
             if not self._view.is_end_stored(job_id)
         }
+        self._log_held("unstored_ends_held", offer, offer.ends)
         return Response(is_accepted=True)
+
+    def _log_held(self, message_type, offer, ends):
+        log_message(
+            message_type=message_type,
+            entry=self._name,
+            epoch=offer.epoch,
+            jobs=sorted(ends),
+        )
--- a/packages/entry/src/samphiredeal/entry/graphs/work.py
+++ b/packages/entry/src/samphiredeal/entry/graphs/work.py
@@ -262,6 +262,13 @@
             return self._shown_ends[job_id]
         return CANCELLED if job_id in self.cancels else state
 
+    def version_of_state(self, job_id):
+        """Return the version of the row that says a job's state, or 0 if none does."""
+        if job_id in self._shown_ends and not self.is_end_stored(job_id):
+            return 0
+        rows = (self.progress.get(job_id), self.cancels.get(job_id))
+        return max((row.version for row in rows if row is not None), default=0)
+
     def is_end_stored(self, job_id):
         """Return whether a row says that a job has ended."""
         stored = self.progress.get(job_id)
--- a/tests/test_incident_logs.py
+++ b/tests/test_incident_logs.py
@@ -80,3 +80,31 @@
     assert world.submit("e0", "a1", [STEP]).kind == answers.NOT_DONE
     line = logged("call_answered")[-1]
     assert line["patience_s"] == 3.0 and line["retry_after_s"] >= 1.0
+
+
+# A new scheduler's line must say whether it knows of the ends that callers were told
+# (inc-twice).
+def test_term_is_logged_with_the_ends_that_are_known(logged):
+    world = make_graph_world()
+    world.submit("e0", "a1", [STEP])
+    world.run(2.0)
+    world.submit("e0", "a2", [{**STEP, "estimated-ms": 9000}])
+    world.kill(world.scheduler())
+    world.run_until(world.scheduler, 5.0)
+    first, second = logged("term_began")
+    assert first["jobs"] == 0 and second["epoch"] == first["epoch"] + 1
+    assert (second["jobs"], second["active"], second["ends_by_rows"]) == (2, 1, 1)
+    assert second["rows_version"] > first["rows_version"]
+
+
+# What a caller was told must lead to the row that says so (inc-twice).
+def test_answered_state_is_logged_with_the_version_of_its_row(logged):
+    world = make_graph_world()
+    world.submit("e0", "a1", [STEP])
+    world.run(2.0)
+    entry = "e0" if world.scheduler() != "e0" else "e1"
+    assert world.state(entry, "a1") == "completed"
+    line = logged("call_answered")[-1]
+    version = world.table.rows["progress/a1"].version
+    assert (line["state"], line["state_version"]) == ("completed", version)
+    assert line["rows_age_s"] < 1.0
