--- a/packages/platform/src/samphiredeal/platform/memory_worker.py
+++ b/packages/platform/src/samphiredeal/platform/memory_worker.py
@@ -127,8 +127,8 @@
     """A simulated worker.
 
     `describe(task)` returns the `Work` of a task. `watch(event, worker, task, run,
-    how)` is called for every ``start`` and ``end``. Tasks take their time divided by
-    `speed`.
+    how)` is called for every ``start`` and ``end``, and for every end that is
+    ``recorded``. Tasks take their time divided by `speed`.
     """
 
     def __init__(
@@ -212,7 +212,7 @@
         self._accept_epoch(epoch)
         if deadline_ms is not None:
             self._extend(deadline_ms)
-        self._ends = [end for end in self._ends if end.number > ends_recorded]
+        self._drop_recorded(ends_recorded)
         polled = Deferred()
         self._waiting_polls.append(polled)
         if self._ends or not wait_s:
@@ -221,6 +221,12 @@
             self.clock.callLater(wait_s, self._answer_poll, polled)
         return polled
 
+    def _drop_recorded(self, ends_recorded):
+        for end in self._ends:
+            if end.number <= ends_recorded:
+                self._watch("recorded", self, end.task, end.run, end.how)
+        self._ends = [end for end in self._ends if end.number > ends_recorded]
+
     def task_ended(self, task, how):
         """Record the completion of a run, and answer waiting polls."""
         self._running.pop(task.name, None)
--- a/packages/standins/src/samphiredeal/standins/graph_worker.py
+++ b/packages/standins/src/samphiredeal/standins/graph_worker.py
@@ -117,8 +117,6 @@
         self._starts = collections.Counter()
         self._history = []
         self._recorded = []
-        self._unrecorded = []
-        self._end_count = 0
         self._omits_born_until = 0.0
         self._heartbeats = heartbeats
         self._factory = WrappingFactory(Site(self))
@@ -151,7 +149,6 @@
     # Faults
 
     def _begin_life(self, facts):
-        self._unrecorded, self._end_count = [], 0
         self.worker = MemoryWorker(
             LifeClock(), facts, self._describe, watch=self._record_event
         )
@@ -237,7 +234,6 @@
         return (409, {}) if isinstance(answer, Unavailable) else (200, {})
 
     async def _poll(self, body):
-        self._record_ends(body["last-seen"])
         result = await self.worker.poll(
             body["fencing-token"],
             body["last-seen"],
@@ -256,23 +252,16 @@
             del fields["born"]
         return 200, fields
 
-    def _record_ends(self, last_seen):
-        """Move the ends that the agent confirms to those that are recorded."""
-        for number, *end in self._unrecorded:
-            if number <= last_seen:
-                self._recorded.append((reactor.seconds(), *end))
-        self._unrecorded = [end for end in self._unrecorded if end[0] > last_seen]
-
     def _describe(self, task):
         return Work(float(self._payloads.get(task) or 1.0))
 
     def _record_event(self, event, worker, task, run, how):
+        if event == "recorded":
+            self._recorded.append((reactor.seconds(), task, run, how))
+            return
         self._history.append((reactor.seconds(), event, task, run, how))
         if event == "start":
             self._starts[task] += 1
-        else:
-            self._end_count += 1
-            self._unrecorded.append((self._end_count, task, run, how))
 
 
 def run(path: str):
--- a/tests/graph_world.py
+++ b/tests/graph_world.py
@@ -51,10 +51,13 @@
     def __init__(self, clock):
         self._clock = clock
         self.events = []
+        # The ends that agents have confirmed to their workers.
+        self.recorded = []
 
     def record(self, name, kind, task, run, how):
         """Record an event on the worker `name`, whose id may have changed."""
-        self.events.append(Event(self._clock.seconds(), kind, name, task, run, how))
+        event = Event(self._clock.seconds(), kind, name, task, run, how)
+        (self.recorded if kind == "recorded" else self.events).append(event)
 
     def starts(self, task=None):
         """Return the starts of a task, or of all tasks."""
@@ -322,6 +325,24 @@
                 elif link.peer_name == name:
                     link.other.close()
 
+    def restart(self, name):
+        """Start a killed entry or agent again; it hears the store as before."""
+        silent = self.nodes[name].faults.silent
+        if name in self.workers:
+            self.add_agent(name)
+            self.nodes[name].faults.silent = silent
+        else:
+            self.add_entry(name, silent)
+
+    def lose_worker(self, name):
+        """Let a worker crash, and answer nobody until `return_worker`."""
+        self.workers[name].crash()
+        self.workers[name].faults.down = True
+
+    def return_worker(self, name):
+        """Let a lost worker answer again, in a new life that has nothing."""
+        self.workers[name].faults.down = False
+
     def cut_store(self, name, down=True):
         self.nodes[name].faults.down = down
 
