--- a/packages/entry/src/samphiredeal/entry/graphs/dispatcher.py
+++ b/packages/entry/src/samphiredeal/entry/graphs/dispatcher.py
@@ -10,7 +10,7 @@
 from twisted.internet.defer import ensureDeferred
 from twisted.internet.task import deferLater
 
-from samphiredeal.entry.graphs import unstored_ends, work
+from samphiredeal.entry.graphs import work
 from samphiredeal.entry.graphs.progress_store import ProgressStore
 from samphiredeal.entry.graphs.sessions import Sessions
 from samphiredeal.platform.table import (
@@ -45,8 +45,6 @@
 # How long a new scheduler waits for the reports of all workers before it places
 # anything, so that it can choose among all of them.
 _REPORT_WAIT_S = 0.25
-# A store that answers takes an end within this time.
-_UNSTORED_AFTER_S = 0.1
 # The condition on the epoch, and the heartbeat.
 _OWN_OPERATIONS = 2
 # Beliefs on speeds in one write. With the heartbeat they fit beside a full batch.
@@ -103,7 +101,6 @@
             jobs=len(jobs),
             active=sum(job.active for job in jobs),
             ends_by_rows=sum(self._view.is_end_stored(job.id) for job in jobs),
-            ends_taken_over=sorted(self._host.unstored_ends.held),
             rows_version=self._host.rows_version(),
         )
 
@@ -136,9 +133,6 @@
                 scheduler.restore_speed(name, view.speeds[name].value.belief)
         # Rows that this scheduler writes later tell it nothing.
         self._workers_seen.update(view.workers)
-        for job_id, state in self._host.unstored_ends.held.items():
-            # Told by an earlier scheduler, which may not have stored it any more.
-            scheduler.conclude_job(job_id, state, now)
         self._sessions.set_workers(view.workers)
         operations = self._host.operations
         scheduler.zones_out = operations.zones_out
@@ -187,24 +181,9 @@
                 message_type=note.event, epoch=self._leadership.epoch, **note.fields
             )
         self._commit()
-        self._offer_unstored_ends(now)
         self._sessions.send_orders()
         self._request_advice()
 
-    def _offer_unstored_ends(self, now):
-        """Let the other entries know the ends that the store does not take."""
-        if not self._host.unstored_ends.is_offer_due:
-            return
-        ends = {
-            job.id: job.state
-            for job in self._scheduler.jobs.values()
-            if job.ended_at is not None
-            and job.state in unstored_ends.SHOWN_STATES
-            and now - job.ended_at > _UNSTORED_AFTER_S
-            and not self._view.is_end_stored(job.id)
-        }
-        self._host.unstored_ends.offer(ends)
-
     # Advice
 
     def _request_advice(self):
--- a/packages/entry/src/samphiredeal/entry/graphs/node.py
+++ b/packages/entry/src/samphiredeal/entry/graphs/node.py
@@ -10,7 +10,7 @@
 from twisted.internet.defer import ensureDeferred
 from twisted.internet.task import deferLater
 
-from samphiredeal.entry.graphs import relay, scheduler_monitor, unstored_ends
+from samphiredeal.entry.graphs import relay, scheduler_monitor
 from samphiredeal.entry.graphs.call_handler import CallHandler
 from samphiredeal.entry.graphs.dispatcher import Dispatcher
 from samphiredeal.entry.graphs.feed_confirmation import FeedConfirmedTable
@@ -20,7 +20,6 @@
 from samphiredeal.entry.graphs.relay import Relay
 from samphiredeal.entry.graphs.scheduler_monitor import SchedulerMonitor
 from samphiredeal.entry.graphs.store_health import StoreHealth
-from samphiredeal.entry.graphs.unstored_ends import UnstoredEnds
 from samphiredeal.entry.graphs.wall_clock import SAMPLE_INTERVAL_S, WallClock
 from samphiredeal.entry.graphs.work import WorkView
 from samphiredeal.entry.periodic import Periodic
@@ -65,7 +64,6 @@
     gang_start_s: float
     lease_wait_s: float
     state_kept_s: float
-    unstored_ends: object
     advice: object = None
 
 
@@ -127,10 +125,6 @@
             self._scheduler_monitor,
             self._leadership_changed,
         )
-        store_health = StoreHealth(self._work_follower, self._operator_follower)
-        self._unstored_ends = UnstoredEnds(
-            clock, name, connect, self._view, self._leadership, store_health
-        )
         self._relay = Relay(
             clock,
             name,
@@ -146,7 +140,7 @@
             table,
             self._operator_view,
             self._view,
-            store_health,
+            StoreHealth(self._work_follower, self._operator_follower),
             _CONFIG_MAX_AGE_SHARE * (bounds.config_apply_s + bounds.config_stretch_s),
             self._relay.forward,
         )
@@ -165,7 +159,6 @@
             bounds.gang_start_s,
             lease_wait_s(bounds.lease_max_s),
             bounds.state_kept_s + 30.0,
-            self._unstored_ends,
             advice,
         )
         self._grace_s = bounds.stop_grace_s
@@ -231,8 +224,13 @@
         if isinstance(message, Ask):
             if message.topic == relay.TOPIC:
                 self._relay.answer(link, message)
-            elif message.topic == unstored_ends.TOPIC:
-                self._unstored_ends.answer(link, message)
+            else:
+                # An entry of another build; without a reply it goes on by itself.
+                log_message(
+                    message_type="ask_ignored",
+                    entry=message.query_id,
+                    topic=message.topic[:40],
+                )
         elif isinstance(message, SchedulerQuery):
             no_response_s = self._work_follower.since_last_response_s
             link.send(SchedulerSign(self._leadership.epoch, no_response_s))
--- a/packages/entry/src/samphiredeal/entry/graphs/store_health.py
+++ b/packages/entry/src/samphiredeal/entry/graphs/store_health.py
@@ -44,11 +44,6 @@
         """Whether the store responds without delay."""
         return self.is_healthy and self._work_follower.since_last_response_s < _PROMPT_S
 
-    @property
-    def is_silent(self):
-        """Whether the store has not responded for longer than a healthy one takes."""
-        return self._work_follower.since_last_response_s >= _PROMPT_S
-
     @property
     def is_answering(self):
         """Whether the store has answered so recently that it can be relied on.
--- a/packages/entry/src/samphiredeal/entry/graphs/work.py
+++ b/packages/entry/src/samphiredeal/entry/graphs/work.py
@@ -170,8 +170,6 @@
         self.heartbeat_seen_at = clock.seconds()
         self.heartbeats_seen = 0
         self._completion_waiters = {}
-        # States of jobs that have ended, of which no row says so yet.
-        self._shown_ends = {}
         self._rows_by_prefix = {
             _JOB: self.jobs,
             _PROGRESS: self.progress,
@@ -258,14 +256,10 @@
         state = stored.value.state if stored else QUEUED
         if state in FINAL_STATES:
             return state
-        if job_id in self._shown_ends:
-            return self._shown_ends[job_id]
         return CANCELLED if job_id in self.cancels else state
 
     def version_of_state(self, job_id):
         """Return the version of the row that says a job's state, or 0 if none does."""
-        if job_id in self._shown_ends and not self.is_end_stored(job_id):
-            return 0
         rows = (self.progress.get(job_id), self.cancels.get(job_id))
         return max((row.version for row in rows if row is not None), default=0)
 
@@ -274,20 +268,6 @@
         stored = self.progress.get(job_id)
         return stored is not None and stored.value.state in FINAL_STATES
 
-    def show_ends(self, ends):
-        """Show these states of jobs, {job id: state}, until rows say that they ended.
-
-        A state that callers were told stays, also if the job is cancelled later.
-        """
-        known = {**self._shown_ends, **ends}
-        self._shown_ends = {
-            job_id: state
-            for job_id, state in known.items()
-            if job_id in self.jobs and not self.is_end_stored(job_id)
-        }
-        for job_id in ends:
-            self._notify_if_ended(job_id)
-
     def is_running(self, job_id):
         """Return whether a job is active by the rows received so far."""
         return self.state_of(job_id) == ACTIVE
@@ -318,7 +298,7 @@
 
     def _is_waiting(self, job_id):
         stored = self.progress.get(job_id)
-        if job_id in self.cancels or job_id in self._shown_ends:
+        if job_id in self.cancels:
             return False
         if stored is None:
             return True
--- a/packages/policy/src/samphiredeal/policy/graphs/scheduler.py
+++ b/packages/policy/src/samphiredeal/policy/graphs/scheduler.py
@@ -116,12 +116,6 @@
         if job is not None and job.active:
             job.end(CANCELLED, "cancelled by its caller", now)
 
-    def conclude_job(self, job_id, state, now):
-        """End an active job whose callers have been told that it ended like that."""
-        job = self.jobs.get(job_id)
-        if job is not None and job.active:
-            job.end(state, "shown before it was stored", now)
-
     def fail_unstorable_job(self, job_id, reason, now):
         """End a job whose progress the store rejects; the next plan stops its runs.
 
