Take the links off the time for which last tries are held

Cause: the share was of the time that the call names, which the links and the processes at both ends had used in part. 15 ms are left for them now, and the share is half.

--- a/packages/entry/src/samphiredeal/entry/graphs/call_handler.py
+++ b/packages/entry/src/samphiredeal/entry/graphs/call_handler.py
@@ -27,9 +27,11 @@
 # A probe is sent every 0.1 s, and a healthy store answers it within milliseconds.
 _PROBE_TIMEOUT_S = 0.3
 _PROBE_POLL_INTERVAL_S = 0.05
-# The largest share of a caller's last time to spend on it: the rest is for a write and
-# for the answer to reach the caller.
-_PROBE_TIME_SHARE = 0.48
+# The largest share of a caller's last time to spend on it, with the way to the entry
+# and back: the rest is for a write.
+_PROBE_TIME_SHARE = 0.5
+# What the links and the processes at their ends take of a caller's time.
+_LINKS_S = 0.015
 # A store that is back would not take a write in less.
 _PROBE_POLL_MIN_S = 0.005
 # The largest share of a caller's time to spend on waiting for changes.
@@ -164,7 +166,8 @@
         """
         if call.wait_s > _LAST_TRIES_S:
             return
-        wait_s = min(_PROBE_TIMEOUT_S, _PROBE_TIME_SHARE * call.wait_s)
+        share_s = _PROBE_TIME_SHARE * call.wait_s - _LINKS_S
+        wait_s = min(_PROBE_TIMEOUT_S, share_s)
         give_up_at = began_at + wait_s
         while self._lacks_current_rows():
             left_s = give_up_at - self._clock.seconds()
