--- a/packages/entry/src/samphiredeal/entry/graphs/call_handler.py
+++ b/packages/entry/src/samphiredeal/entry/graphs/call_handler.py
@@ -303,9 +303,10 @@
         return JobAnswer(answers.UNSETTLED, reason=reason, retry_after_s=wait_s)
 
     def _state_version(self, call, answer):
-        """Return the version of the row that an answered state rests on, or 0.
+        """Return the version of the row by which this entry knows a state, or 0.
 
-        It is 0 for a job without progress, and for a state of another entry.
+        It is 0 for a job without progress. Of a relayed call, the entry that gave the
+        state logs the version on which it rests.
         """
         if answer.kind != answers.STATE:
             return 0
