Tests: what is told outside, and the losses that it has to outlast

Refusals, accepted jobs, cancels, states, acknowledged ends, heartbeats and stop orders, and the HTTP API.

--- /dev/null
+++ b/tests/test_told_outside.py
@@ -0,0 +1,531 @@
+"""What callers, operators and workers are told, and the losses that it has to outlast.
+
+Ends of jobs are in `test_told_ends.py`. Here are the other answers: refusals, accepted
+jobs, cancels, states, acknowledged ends and acknowledged heartbeats. Each test lets a
+process be lost that alone remembers what an answer rests on.
+"""
+
+from io import BytesIO
+from types import SimpleNamespace
+
+import msgspec
+import pytest
+from graph_world import check_invariants, make_graph_world, set_store_silent
+from twisted.internet.defer import ensureDeferred
+from twisted.internet.task import Clock, deferLater
+from twisted.web.test.requesthelper import DummyRequest
+
+from samphiredeal.entry import api, http
+from samphiredeal.entry.jobstore import JobStore
+from samphiredeal.entry.metrics import Metrics
+from samphiredeal.model import answers, runs
+from samphiredeal.model.job import Job
+from samphiredeal.model.shape import Shape
+from samphiredeal.platform.memory import Faults, MemoryTable
+from samphiredeal.platform.memory_worker import Work
+from samphiredeal.platform.table import CALL_TIMEOUT_S
+
+STEP = {"count": 1, "cpu": 1000, "mem-mb": 1000, "gpu": 1, "estimated-ms": 1000}
+LONG_STEP = {**STEP, "estimated-ms": 8000}
+BODY = msgspec.json.encode({"spec": "payload", "steps": [STEP]})
+PATH = "/normal/a1"
+TASK = "a1.0.0.0"
+ENTRIES = ("e0", "e1", "e2")
+
+
+class HeldWrites:
+    """Writes of one entry that the store does not answer, and applies when told to."""
+
+    def __init__(self, world, entry):
+        self._table = world.table
+        self._writes = []
+        store = world.nodes[entry].process._table._table
+
+        def hold(conditions, puts, deletes=()):
+            self._writes.append((conditions, puts, deletes))
+            return store._time_out(CALL_TIMEOUT_S)
+
+        store.write = hold
+
+    def __len__(self):
+        return len(self._writes)
+
+    def apply(self):
+        """Apply the writes whose conditions hold."""
+        for write in self._writes:
+            self._table._apply(*write)
+
+
+def make_world():
+    """Return (world, first, second): entries that are not the scheduler."""
+    world = make_graph_world()
+    first, second = (name for name in ENTRIES if name != world.scheduler())
+    return world, first, second
+
+
+def begin_submission(world, entry):
+    """Begin to submit a1 at an entry; return its answers."""
+    world.specs["a1"] = {"spec": "payload", "steps": [STEP]}
+    return world.call(entry, answers.SUBMIT, PATH, BODY)
+
+
+def submit(world, entry):
+    """Submit a1 at an entry; return its answer."""
+    return world.wait_for_answer(begin_submission(world, entry))
+
+
+def lose_entry(world, name, how):
+    """Let an entry be lost in one of several ways."""
+    if how == "cut off":
+        for other in ENTRIES:
+            if other != name:
+                world.network.cut(name, other)
+        return
+    world.kill(name)
+    if how == "restarted":
+        world.run(0.2)
+        world.restart(name)
+        world.run(0.4)
+
+
+def submit_into_doubt(world, entry, is_answered):
+    """Submit a1 so that its write is pending at the store; return the `HeldWrites`.
+
+    The caller is told that the outcome is unknown, or gets no answer.
+    """
+    held = HeldWrites(world, entry)
+    answers_received = begin_submission(world, entry)
+    world.run_until(lambda: len(held), 0.5)
+    if is_answered:
+        assert world.wait_for_answer(answers_received).kind == answers.UNSETTLED
+    return held
+
+
+def end_silence(world, held):
+    """Let the store apply what it holds, and answer again; let all settle."""
+    held.apply()
+    set_store_silent(world, False)
+    world.network.heal()
+    world.run(8.0)
+    check_invariants(world)
+
+
+# Refusals
+
+
+# Guards against "not accepted and never runs" for a job whose first write the store
+# applies later, as the entry that knows of the write is lost, cut off, or new.
+@pytest.mark.parametrize("is_answered", [False, True])
+@pytest.mark.parametrize("how", ["killed", "restarted", "cut off"])
+def test_job_in_doubt_at_a_lost_entry_is_not_refused(how, is_answered):
+    world, first, second = make_world()
+    held = submit_into_doubt(world, first, is_answered)
+    set_store_silent(world, True)
+    lose_entry(world, first, how)
+    world.run(1.2)
+    answer = submit(world, first if how == "restarted" else second)
+    end_silence(world, held)
+    starts = world.event_log.starts(TASK)
+    assert not (answer.kind == answers.NOT_DONE and starts)
+
+
+# The same where the entry that wrote had the call from another one, and both are lost.
+def test_relayed_job_in_doubt_is_not_refused_after_the_loss_of_both_entries():
+    world = make_graph_world()
+    scheduler = world.scheduler()
+    asked, second = (name for name in ENTRIES if name != scheduler)
+    world.nodes[asked].faults.down = True
+    world.run(1.5)
+    held = HeldWrites(world, scheduler)
+    assert submit(world, asked).kind == answers.UNSETTLED
+    set_store_silent(world, True)
+    world.kill(asked)
+    world.kill(scheduler)
+    world.run(1.2)
+    answer = submit(world, second)
+    end_silence(world, held)
+    starts = world.event_log.starts(TASK)
+    assert not (answer.kind == answers.NOT_DONE and starts)
+
+
+# Guards against a refused cancel ("nothing was stored") that takes effect later.
+@pytest.mark.parametrize("how", ["killed", "restarted", "cut off"])
+def test_cancel_in_doubt_at_a_lost_entry_is_not_refused(how):
+    world, first, second = make_world()
+    world.submit(second, "a1", [LONG_STEP])
+    world.run(1.0)
+    held = HeldWrites(world, first)
+    world.call(first, answers.CANCEL, PATH)
+    world.run_until(lambda: len(held), 0.5)
+    set_store_silent(world, True)
+    lose_entry(world, first, how)
+    world.run(1.2)
+    entry = first if how == "restarted" else second
+    answer = world.wait_for_answer(world.call(entry, answers.CANCEL, PATH))
+    end_silence(world, held)
+    is_cancelled = world.state(second, "a1") == "cancelled"
+    assert not (answer.kind == answers.NOT_DONE and is_cancelled)
+
+
+# Guards against a doubt that is dropped by a retry which was refused for its key, and
+# so says nothing of the write.
+@pytest.mark.parametrize("key", ["key-1", "unknown"])
+def test_retry_with_an_unknown_key_does_not_end_a_doubt(key):
+    world, first, _second = make_world()
+    held = submit_into_doubt(world, first, is_answered=True)
+    world.wait_for_answer(world.call(first, answers.SUBMIT, PATH, BODY, key=key))
+    set_store_silent(world, True)
+    world.run(4.5)
+    answer = submit(world, first)
+    end_silence(world, held)
+    assert world.event_log.starts(TASK)
+    assert answer.kind == answers.UNSETTLED
+
+
+# Guards against a rejection by one entry of a call that another one, asked before, may
+# have carried out: the key is withdrawn in between, and the first does not reply.
+def test_call_without_a_reply_of_one_entry_is_not_rejected_by_the_next():
+    world = make_graph_world()
+    scheduler = world.scheduler()
+    asked = next(name for name in ENTRIES if name != scheduler)
+    world.nodes[asked].faults.down = True
+    world.run(1.5)
+    held = HeldWrites(world, scheduler)
+    answers_received = begin_submission(world, asked)
+    world.run_until(lambda: len(held), 0.5)
+    world.configure(keys=("key-2",))
+    answer = world.wait_for_answer(answers_received)
+    end_silence(world, held)
+    assert world.event_log.starts(TASK)
+    assert answer.kind == answers.UNSETTLED
+
+
+# Guards against a start after a caller's cancel was answered with "no such job", while
+# the submission was pending at the store.
+@pytest.mark.parametrize("is_answered", [False, True])
+def test_job_in_doubt_does_not_run_after_its_cancel_was_answered(is_answered):
+    world, first, second = make_world()
+    held = submit_into_doubt(world, first, is_answered)
+    answer = world.wait_for_answer(world.call(second, answers.CANCEL, PATH))
+    assert answer.kind in (answers.NO_JOB, answers.CANCELLED)
+    world.run(1.0)
+    end_silence(world, held)
+    assert world.event_log.starts(TASK) == []
+
+
+# Accepted jobs and cancels
+
+
+# Guards against an accepted job that rests on a write whose answer was lost: the change
+# feed, or the conflict of a second try, has shown the row.
+@pytest.mark.parametrize("lost_answers", [1, 2])
+def test_job_accepted_without_the_answer_of_the_store_outlasts_all_entries(
+    lost_answers,
+):
+    world, first, _second = make_world()
+    world.nodes[first].faults.lose_answers = lost_answers
+    assert submit(world, first).kind == answers.ACCEPTED
+    for name in ENTRIES:
+        world.kill(name)
+    for name in ENTRIES:
+        world.restart(name)
+    world.run(8.0)
+    assert world.state(first, "a1") == "completed"
+    assert len(world.event_log.starts(TASK)) == 1
+
+
+# Guards against a job that two entries accept and that runs twice, or by neither: the
+# write of the first is applied just before that of the second.
+def test_job_accepted_by_a_conflict_with_another_entry_runs_once():
+    world, first, second = make_world()
+    held = submit_into_doubt(world, first, is_answered=False)
+    world.kill(first)
+    held.apply()
+    assert submit(world, second).kind == answers.ACCEPTED
+    world.run(4.0)
+    held.apply()
+    world.run(4.0)
+    assert world.state(second, "a1") == "completed"
+    assert len(world.event_log.starts(TASK)) == 1
+
+
+# Guards against a start after a cancel that was acknowledged, if all VMs lose power.
+@pytest.mark.parametrize("later_s", [0.0, 0.1, 0.5])
+def test_acknowledged_cancel_outlasts_a_loss_of_all_vms(later_s):
+    world, first, _second = make_world()
+    world.submit(first, "a1", [LONG_STEP])
+    world.run_until(lambda: world.event_log.starts(TASK), 3.0)
+    answer = world.wait_for_answer(world.call(first, answers.CANCEL, PATH))
+    assert answer.kind == answers.CANCELLED
+    cancelled_at = world.clock.seconds()
+    world.run(later_s)
+    for name in list(world.nodes):
+        world.kill(name)
+    for name in world.workers:
+        world.lose_worker(name)
+    world.run(1.0)
+    for name in list(world.nodes):
+        world.restart(name)
+    for name in world.workers:
+        world.return_worker(name)
+    world.run(15.0)
+    starts = [e for e in world.event_log.starts(TASK) if e.at > cancelled_at]
+    assert starts == []
+    assert world.state(first, "a1") == "cancelled"
+
+
+# Guards against a second run by a repeat of the submission long after the job's end,
+# also if another scheduler has counted the time for which its rows are kept.
+@pytest.mark.parametrize("is_replaced", [False, True])
+def test_repeated_submission_within_the_time_kept_starts_nothing(is_replaced):
+    world = make_graph_world(entries=2, workers=1)
+    assert submit(world, "e0").kind == answers.ACCEPTED
+    world.run(5.0)
+    if is_replaced:
+        world.kill(world.scheduler())
+    world.run(115.0)
+    alive = next(n for n in ("e0", "e1") if not world.nodes[n].clock.dead)
+    assert submit(world, alive).kind == answers.ACCEPTED
+    world.run(3.0)
+    assert len(world.event_log.starts(TASK)) == 1
+    assert world.state(alive, "a1") == "completed"
+
+
+# States
+
+
+def delay_snapshots(monkeypatch, world, seconds):
+    """Let snapshots of the system's rows take longer than other calls.
+
+    A snapshot of many rows takes several calls, and each of them may be slow.
+    """
+    snapshot = MemoryTable.snapshot
+
+    def delayed(table):
+        answer = snapshot(table)
+        if table._records is not world.table._records:
+            return answer
+        return deferLater(world.clock, seconds, lambda: answer)
+
+    monkeypatch.setattr(MemoryTable, "snapshot", delayed)
+
+
+# Guards against a state that falls back, or a job that is not counted, as told by an
+# entry that has the configuration but not yet the system's rows.
+@pytest.mark.parametrize("delay_s", [0.5, 1.5])
+def test_entry_without_the_rows_tells_no_state_of_its_own(monkeypatch, delay_s):
+    world, first, second = make_world()
+    assert submit(world, second).kind == answers.ACCEPTED
+    world.run(4.0)
+    assert world.state(second, "a1") == "completed"
+    delay_snapshots(monkeypatch, world, delay_s)
+    world.kill(first)
+    world.restart(first)
+    world.run(0.2)
+    answer = world.wait_for_answer(world.call(first, answers.GET_STATE, PATH))
+    assert answer.state in ("completed", "")
+
+
+@pytest.mark.parametrize("delay_s", [0.5, 1.5])
+def test_entry_without_the_rows_does_not_count_waiting_jobs(monkeypatch, delay_s):
+    world, first, second = make_world()
+    for number in range(4):
+        job = {**STEP, "cpu": 1000, "gpu": 8, "requirements": "absent"}
+        world.submit(second, f"a{number}", [job])
+    world.run(2.0)
+    count = world.wait_for_answer(world.call(second, answers.GET_STATE, "/normal/"))
+    delay_snapshots(monkeypatch, world, delay_s)
+    world.kill(first)
+    world.restart(first)
+    world.run(0.2)
+    answer = world.wait_for_answer(world.call(first, answers.GET_STATE, "/normal/"))
+    assert answer.kind == answers.NOT_DONE or answer.waiting == count.waiting
+
+
+# Guards against states by rows of long ago: the store answers an entry in part, so that
+# its configuration is new and its other rows are not.
+@pytest.mark.parametrize("is_alone", [False, True])
+def test_entry_tells_no_state_by_rows_of_long_ago(is_alone):
+    world, first, second = make_world()
+    assert submit(world, second).kind == answers.ACCEPTED
+    world.run_until(lambda: world.state(first, "a1") == "running", 3.0)
+    node = world.nodes[first]
+    node.operator_table.faults = Faults()
+    node.faults.silent = True
+    if is_alone:
+        lose_entry(world, first, "cut off")
+    world.run(8.0)
+    assert world.state(second, "a1") == "completed"
+    answer = world.wait_for_answer(world.call(first, answers.GET_STATE, PATH))
+    assert answer.state in ("completed", "")
+
+
+# Ends that are acknowledged to workers
+
+
+# Guards against an end that is acknowledged to its worker before it is stored, if the
+# scheduler is replaced around the end (`completions_recorded` is memory).
+@pytest.mark.parametrize("killed_at_s", [-0.1, -0.01, 0.01, 0.02, 0.05, 0.1, 0.3])
+def test_end_is_stored_before_it_is_acknowledged_around_a_takeover(killed_at_s):
+    world, first, _second = make_world()
+    assert submit(world, first).kind == answers.ACCEPTED
+    world.run_until(lambda: world.event_log.starts(TASK), 3.0)
+    world.clock.callLater(1.0 + killed_at_s, world.kill, world.scheduler())
+    unstored = []
+
+    def check():
+        row = world.table.rows.get("progress/a1")
+        if world.event_log.recorded and b"completed" not in row.value:
+            unstored.append(world.clock.seconds())
+
+    for _ in range(800):
+        world.clock.advance(0.01)
+        check()
+    assert unstored == []
+    assert world.event_log.recorded
+    assert world.state(first, "a1") == "completed"
+    assert len(world.event_log.starts(TASK)) == 1
+
+
+# Guards against a third start of a task that may fail twice: the first end `failed` is
+# listed after the run was given up, and is acknowledged without being counted.
+def test_end_that_is_listed_late_counts_as_an_attempt():
+    world, first, _second = make_world()
+    world.work_of[TASK] = Work(1.0, runs.FAILED)
+    assert submit(world, first).kind == answers.ACCEPTED
+    world.run_until(lambda: world.event_log.starts(TASK), 3.0)
+    worker = world.event_log.starts(TASK)[0].worker
+    for name in ENTRIES:
+        world.network.cut(worker, name)
+    world.run_until(lambda: len(world.event_log.starts(TASK)) == 2, 20.0)
+    world.network.heal()
+    world.run(15.0)
+    acknowledged = [end for end in world.event_log.recorded if end.how == runs.FAILED]
+    assert len(acknowledged) >= 2
+    assert len(world.event_log.starts(TASK)) == 2
+
+
+# Heartbeats and stop orders
+
+
+# Guards against starts on a worker whose leaving was acknowledged, if its agent forgets
+# that, and a heartbeat from before arrives late. The next heartbeat ends it, within the
+# time for which a machine counts as out of touch after the loss of a process (3 s).
+@pytest.mark.parametrize("late_s", [0.05, 0.3, 1.0])
+def test_late_heartbeat_after_a_restart_of_the_agent_misleads_it_briefly(late_s):
+    world = make_graph_world(workers=1)
+    worker, node = world.workers["w0"], world.nodes["w0"]
+    late = worker.facts
+    worker.facts = late._replace(leaving=True, leaving_in_ms=60_000)
+    world.run(3.5)
+    world.kill("w0")
+    world.restart("w0")
+    restarted_at = world.clock.seconds()
+    node = world.nodes["w0"]
+    world.clock.callLater(
+        late_s, node.clock.run, node.process.run_manager.record_heartbeat, late, 1
+    )
+    world.submit("e0", "a1", [STEP])
+    world.run(20.0)
+    starts = [e for e in world.event_log.starts(TASK) if e.at > restarted_at + 3.0]
+    assert starts == []
+
+
+# Guards against a stop that is forgotten by an agent which restarts before it has
+# carried the order out.
+@pytest.mark.parametrize("killed_at_s", [0.0, 0.005, 0.02, 0.05, 0.2])
+def test_stop_order_outlasts_a_restart_of_the_agent(killed_at_s):
+    world, first, _second = make_world()
+    world.submit(first, "a1", [{**STEP, "estimated-ms": 30_000}])
+    world.run_until(lambda: world.event_log.starts(TASK), 3.0)
+    worker = world.event_log.starts(TASK)[0].worker
+    world.call(first, answers.CANCEL, PATH)
+    world.run_until(lambda: "cancel/a1" in world.table.rows, 0.5)
+    cancelled_at = world.clock.seconds()
+    for _ in range(round(killed_at_s / 0.005)):
+        world.clock.advance(0.005)
+    world.kill(worker)
+    world.run(0.1)
+    world.restart(worker)
+    world.run(5.0)
+    ends = [e for e in world.event_log.events if e.kind == "end"]
+    assert ends
+    assert ends[0].at < cancelled_at + 3.0 + 0.2
+    assert len(world.event_log.starts(TASK)) == 1
+
+
+# The HTTP API of callers and operators
+
+
+class ApiRequest(DummyRequest):
+    """A request of the HTTP API; keeps what is answered."""
+
+    too_large = False
+    _disconnected = False
+
+    def __init__(self, method, names, body=b""):
+        super().__init__(names)
+        self.method = method
+        self.content = BytesIO(body)
+
+    @property
+    def verdict(self):
+        """The verdict in the answer's headers."""
+        return self.responseHeaders.getRawHeaders(http.VERDICT_HEADER)[0]
+
+
+def call_api(node, clock, request, resource):
+    """Pass a request to one resource of the API."""
+    root = api.make_api(node, Metrics("entry", "e0"), clock)
+    root.children[b"v1"].children[resource].render(request)
+    clock.pump([0.5] * 20)
+    assert request.finished
+
+
+# Guards against "not-run" for a cancel whose write the table may apply later.
+def test_cancel_without_an_answer_of_the_table_is_not_told_as_not_run():
+    clock = Clock()
+    table = MemoryTable(clock)
+    jobs = JobStore(clock, table, "r")
+    submitted = ensureDeferred(jobs.submit(Job("j1", "a", Shape(1, 1, 1)), "n"))
+    clock.pump([0.1] * 10)
+    assert submitted.called
+    table.faults.lose_answers = 1
+    read = table.read
+    # The cancel reads two rows before it writes, and reads its own back after that.
+    reads = []
+
+    def read_until_written(key):
+        reads.append(key)
+        if table.faults.lose_answers == 0:
+            return table._time_out(CALL_TIMEOUT_S)
+        return read(key)
+
+    table.read = read_until_written
+    request = ApiRequest(b"DELETE", [b"j1"])
+    call_api(SimpleNamespace(jobs=jobs), clock, request, b"jobs")
+    assert msgspec.json.decode(table.rows["job/r/j1"].value)["cancelled"]
+    assert request.responseCode == 503
+    assert request.verdict != b"not-run"
+
+
+# Guards against "not-run" for a request that fails in the entry after its dispatch.
+def test_request_that_fails_after_its_dispatch_is_not_told_as_not_run():
+    clock = Clock()
+    dispatched = []
+
+    async def serve(request):
+        dispatched.append(request)
+        raise RuntimeError("the entry fails after the dispatch")
+
+    node = SimpleNamespace(
+        config=SimpleNamespace(current=SimpleNamespace(accounts={"halls": {}})),
+        new_id=lambda: "r1",
+        refusal_reason=lambda: None,
+        requests=SimpleNamespace(serve=serve),
+    )
+    request = ApiRequest(b"POST", [], b"a draft")
+    request.requestHeaders.setRawHeaders("Samphiredeal-Account", ["halls"])
+    call_api(node, clock, request, b"requests")
+    assert dispatched
+    assert request.verdict != b"not-run"
