--- a/tests/test_told_outside.py
+++ b/tests/test_told_outside.py
@@ -10,6 +10,7 @@
 
 import msgspec
 import pytest
+from builders import make_world as make_cluster
 from graph_world import check_invariants, make_graph_world, set_store_silent
 from twisted.internet.defer import ensureDeferred
 from twisted.internet.task import Clock, deferLater
@@ -18,7 +19,7 @@
 from samphiredeal.entry import api, http
 from samphiredeal.entry.jobstore import JobStore
 from samphiredeal.entry.metrics import Metrics
-from samphiredeal.model import answers, runs
+from samphiredeal.model import answers, runs, verdict
 from samphiredeal.model.job import Job
 from samphiredeal.model.shape import Shape
 from samphiredeal.platform.memory import Faults, MemoryTable
@@ -182,13 +183,19 @@
     assert answer.kind == answers.UNSETTLED
 
 
-# Guards against a rejection by one entry of a call that another one, asked before, may
-# have carried out: the key is withdrawn in between, and the first does not reply.
-def test_call_without_a_reply_of_one_entry_is_not_rejected_by_the_next():
+# Guards against a rejection of a call that an entry which was asked before, and did not
+# reply, may have carried out: the key is withdrawn in between. Who rejects it is the
+# next entry that is asked, or the one that has the call from its caller.
+@pytest.mark.parametrize("rejected_by", ["the next", "the first"])
+def test_call_without_a_reply_of_one_entry_is_not_rejected_after_that(rejected_by):
     world = make_graph_world()
     scheduler = world.scheduler()
-    asked = next(name for name in ENTRIES if name != scheduler)
-    world.nodes[asked].faults.down = True
+    asked, third = (name for name in ENTRIES if name != scheduler)
+    node = world.nodes[asked]
+    node.faults.down = True
+    if rejected_by == "the first":
+        node.operator_table.faults = Faults()
+        world.network.cut(asked, third)
     world.run(1.5)
     held = HeldWrites(world, scheduler)
     answers_received = begin_submission(world, asked)
@@ -274,6 +281,34 @@
     assert world.state(first, "a1") == "cancelled"
 
 
+# Guards against starts long after a cancel was acknowledged, by a scheduler that does
+# not hear the store, and so not of the cancel. The bound is that of the users' pages.
+@pytest.mark.parametrize("later_s", [0.0, 0.05, 0.3, 1.0])
+@pytest.mark.parametrize("is_reset", [False, True])
+def test_scheduler_cut_from_the_store_starts_nothing_long_after_a_cancel(
+    is_reset, later_s
+):
+    world, first, _second = make_world()
+    scheduler = world.scheduler()
+    steps = [{**STEP, "estimated-ms": 400}, {**STEP, "after": [0], "count": 8}]
+    world.submit(first, "a1", steps)
+    world.run_until(lambda: world.event_log.starts(TASK), 3.0)
+    if is_reset:
+        for name in world.workers:
+            world.network.cut(scheduler, name)
+    world.run(later_s)
+    world.nodes[scheduler].faults.silent = True
+    answer = world.wait_for_answer(world.call(first, answers.CANCEL, PATH))
+    assert answer.kind == answers.CANCELLED
+    cancelled_at = world.clock.seconds()
+    world.run(0.5)
+    world.network.heal()
+    world.run(15.0)
+    late = [e for e in world.event_log.starts() if e.at > cancelled_at + 3.0]
+    assert late == []
+    assert not world.event_log.overlaps()
+
+
 # Guards against a second run by a repeat of the submission long after the job's end,
 # also if another scheduler has counted the time for which its rows are kept.
 @pytest.mark.parametrize("is_replaced", [False, True])
@@ -411,13 +446,16 @@
 # Guards against starts on a worker whose leaving was acknowledged, if its agent forgets
 # that, and a heartbeat from before arrives late. The next heartbeat ends it, within the
 # time for which a machine counts as out of touch after the loss of a process (3 s).
+@pytest.mark.parametrize("phase_s", [0.0, 0.5, 1.0])
 @pytest.mark.parametrize("late_s", [0.05, 0.3, 1.0])
-def test_late_heartbeat_after_a_restart_of_the_agent_misleads_it_briefly(late_s):
+def test_late_heartbeat_after_a_restart_of_the_agent_misleads_it_briefly(
+    late_s, phase_s
+):
     world = make_graph_world(workers=1)
-    worker, node = world.workers["w0"], world.nodes["w0"]
+    worker = world.workers["w0"]
     late = worker.facts
     worker.facts = late._replace(leaving=True, leaving_in_ms=60_000)
-    world.run(3.5)
+    world.run(3.5 + phase_s)
     world.kill("w0")
     world.restart("w0")
     restarted_at = world.clock.seconds()
@@ -529,3 +567,32 @@
     call_api(node, clock, request, b"requests")
     assert dispatched
     assert request.verdict != b"not-run"
+
+
+# Guards against a change that is told to be in force everywhere by an entry that does
+# not know of one that lags.
+def test_entry_that_is_cut_off_is_told_to_lag():
+    world, change = make_cluster_with_lagging_entry()
+    assert "entry-1" in world.nodes["entry-0"].process.lagging(change.revision)
+
+
+# The one that lags refuses by itself, as nobody confirms its configuration.
+def test_entry_that_lags_unseen_runs_nothing():
+    world, _change = make_cluster_with_lagging_entry()
+    outcomes = world.start_request("entry-1", b"a draft")
+    world.run_until(lambda: outcomes, 10.0)
+    assert outcomes[0].verdict == verdict.NOT_RUN
+    assert world.runs_of(b"a draft") == []
+
+
+def make_cluster_with_lagging_entry():
+    """Return (world, change): entry-1 has not heard of the change for 6 s."""
+    world = make_cluster()
+    world.store_down(entries=["entry-1"])
+    for other in ("entry-0", "entry-2"):
+        world.network.cut(other, "entry-1")
+    world.run(6.0)
+    answer = world.change_and_wait("entry-0", "account", "new", {"weight": 2.0})
+    current = world.nodes["entry-1"].process.config.current
+    assert current.revision < answer.change.revision
+    return world, answer.change
