--- a/tests/test_told_outside.py
+++ b/tests/test_told_outside.py
@@ -10,6 +10,7 @@
 
 import msgspec
 import pytest
+from builders import make_job
 from builders import make_world as make_cluster
 from graph_world import check_invariants, make_graph_world, set_store_silent
 from twisted.internet.defer import ensureDeferred
@@ -25,6 +26,7 @@
 from samphiredeal.platform.memory import Faults, MemoryTable
 from samphiredeal.platform.memory_worker import Work
 from samphiredeal.platform.table import CALL_TIMEOUT_S
+from samphiredeal.wire.messages import JobNotice
 
 STEP = {"count": 1, "cpu": 1000, "mem-mb": 1000, "gpu": 1, "estimated-ms": 1000}
 LONG_STEP = {**STEP, "estimated-ms": 8000}
@@ -440,6 +442,26 @@
     assert len(world.event_log.starts(TASK)) == 2
 
 
+# Guards against occurrences that start early or twice as another scheduler takes over,
+# which knows due times and ends from rows only.
+@pytest.mark.parametrize("killed_at_s", [1.9, 2.0, 2.02, 2.2, 2.5, 3.1])
+def test_due_times_outlast_the_scheduler(killed_at_s):
+    world, first, _second = make_world()
+    begins_at = world.clock.seconds()
+    first_due_ms = round((begins_at + 2.0) * 1000)
+    repeated = {"repetitions": 3, "start-at-ms": first_due_ms, "interval-ms": 1000}
+    accepted = world.submit(first, "a1", [STEP], **repeated)
+    assert accepted.kind == answers.ACCEPTED
+    world.clock.callLater(killed_at_s, world.kill, world.scheduler())
+    world.run(15.0)
+    starts = world.event_log.starts()
+    assert sorted(e.task for e in starts) == [f"a1.{n}.0.0" for n in range(3)]
+    for start in starts:
+        due_at = begins_at + 2.0 + int(start.task.split(".")[1])
+        assert start.at >= due_at - 0.25
+    assert world.state(first, "a1") == "completed"
+
+
 # Heartbeats and stop orders
 
 
@@ -596,3 +618,53 @@
     current = world.nodes["entry-1"].process.config.current
     assert current.revision < answer.change.revision
     return world, answer.change
+
+
+# Guards against a job, or a cancel, that is stored and acknowledged, and of which the
+# scheduler never hears: the notice to it is lost with its link.
+@pytest.mark.parametrize("lost", [0, 1])
+def test_stored_job_of_which_the_notice_is_lost_is_run(lost):
+    world = make_cluster(workers=3)
+    entry = other_than_scheduler(world)
+    job = make_job("j1", declared_s=2.0)
+    stored = store(world, entry.jobs.submit(job, "n1", world.clock.seconds()))
+    world.network.lose_next += [JobNotice] * lost
+    entry.notify_job("submit", job.id, job)
+    world.run(30.0)
+    assert stored
+    assert world.holder().host.scheduler.attempt_of("j1") or is_ended(world, "j1")
+
+
+@pytest.mark.parametrize("lost", [0, 1])
+def test_stored_cancel_of_which_the_notice_is_lost_takes_effect(lost):
+    world = make_cluster(workers=3)
+    entry = other_than_scheduler(world)
+    job = make_job("j1", command="sleep 900")
+    store(world, entry.jobs.submit(job, "n1", world.clock.seconds()))
+    entry.notify_job("submit", job.id, job)
+    world.run(5.0)
+    assert store(world, entry.jobs.cancel("j1"))[0].cancelled
+    world.network.lose_next += [JobNotice] * lost
+    entry.notify_job("cancel", job.id)
+    world.run(30.0)
+    assert is_ended(world, "j1")
+
+
+def other_than_scheduler(world):
+    """Return an entry that does not hold the scheduler lease."""
+    return next(entry for entry in world.entries() if entry.host is None)
+
+
+def store(world, coroutine):
+    """Run a coroutine until it ends; return a list with its result."""
+    results = []
+    ensureDeferred(coroutine).addCallback(results.append)
+    world.run_until(lambda: results, 5.0)
+    return results
+
+
+def is_ended(world, job_id):
+    """Return whether the row of an ended job is stored."""
+    return any(
+        key.startswith("done/") and key.endswith(job_id) for key in world.table.rows
+    )
