--- a/packages/entry/src/samphiredeal/entry/graphs/node.py
+++ b/packages/entry/src/samphiredeal/entry/graphs/node.py
@@ -6,6 +6,7 @@
 
 from typing import NamedTuple
 
+import msgspec
 from eliot import log_message
 from twisted.internet.defer import ensureDeferred
 from twisted.internet.task import deferLater
@@ -24,7 +25,7 @@
 from samphiredeal.entry.graphs.work import WorkView
 from samphiredeal.entry.periodic import Periodic
 from samphiredeal.model.timing import lease_wait_s
-from samphiredeal.wire.messages import Ask, SchedulerQuery, SchedulerSign
+from samphiredeal.wire.messages import Ask, AskReply, SchedulerQuery, SchedulerSign
 
 # Long-poll times of calls for changes; also how often the rows are confirmed current
 # when nothing changes.
@@ -225,16 +226,23 @@
             if message.topic == relay.TOPIC:
                 self._relay.answer(link, message)
             else:
-                # An entry of another build; without a reply it goes on by itself.
-                log_message(
-                    message_type="ask_ignored",
-                    entry=message.query_id,
-                    topic=message.topic[:40],
-                )
+                self._refuse_ask(link, message)
         elif isinstance(message, SchedulerQuery):
             no_response_s = self._work_follower.since_last_response_s
             link.send(SchedulerSign(self._leadership.epoch, no_response_s))
 
+    def _refuse_ask(self, link, message):
+        """Refuse a question on a topic of another build.
+
+        A scheduler of a build that shows unstored ends shows none if an entry refuses
+        them, and takes one that does not reply for lost.
+        """
+        reason = f"unknown topic {message.topic[:40]!r}"
+        log_message(message_type="ask_refused", entry=message.query_id, reason=reason)
+        is_accepted = False
+        document = msgspec.msgpack.encode((is_accepted, reason))
+        link.send(AskReply(message.query_id, document))
+
     async def drain(self):
         """Stop as planned: resign, drain callers, finish the calls in flight."""
         self._stopping = True
--- a/tests/test_ends_in_silence.py
+++ b/tests/test_ends_in_silence.py
@@ -5,6 +5,7 @@
 keeps it, and callers are told soon after the store is back.
 """
 
+import msgspec
 import pytest
 from eliot import add_destinations, remove_destination
 from graph_world import make_graph_world, set_store_silent
@@ -12,7 +13,7 @@
 
 from samphiredeal.model import answers, runs
 from samphiredeal.platform.memory_worker import Work
-from samphiredeal.wire.messages import Ask
+from samphiredeal.wire.messages import Ask, AskReply
 
 STEP = {"count": 1, "cpu": 1000, "mem-mb": 1000, "gpu": 1, "estimated-ms": 1000}
 ENTRIES = ("e0", "e1", "e2")
@@ -146,9 +147,11 @@
         assert world.nodes[entry].process.view.count_waiting("normal") == 0
 
 
-# Entries of earlier builds offer unstored ends to this one, which may not show them.
+# Guards against a scheduler of an earlier build that tells ends from memory beside
+# entries of this one: it shows them if one entry holds them and none refuses, and takes
+# an entry that does not reply for lost (inc-twice, in a rolling upgrade).
 @pytest.mark.parametrize("document", [b"", b"\xff" * 40, b"\x93\x09\x81\xa2a1\xa9"])
-def test_question_on_an_unknown_topic_is_ignored(document):
+def test_offer_of_unstored_ends_by_an_earlier_build_is_refused(document):
     logged = []
     world = make_graph_world()
     world.submit("e0", "a1", [{**STEP, "estimated-ms": 9000}])
@@ -163,9 +166,10 @@
     opened.addCallback(send)
     world.run(0.5)
     remove_destination(logged.append)
-    assert replies == []
-    assert [m["topic"] for m in logged if m.get("message_type") == "ask_ignored"] == [
-        "ends"
-    ]
+    (reply,) = replies
+    assert isinstance(reply, AskReply)
+    # The response of that build: (is_accepted, reason).
+    assert msgspec.msgpack.decode(reply.document) == [False, "unknown topic 'ends'"]
+    assert any(m.get("message_type") == "ask_refused" for m in logged)
     assert world.state("e2", "a1") == "running"
     assert world.submit("e2", "a2", [STEP]).kind == answers.ACCEPTED
