Tell states and counts only by rows that have been received, and are recent

An entry that had the configuration but not yet the system's rows said queued of a completed job, and 0 of the jobs that wait: the state of a job that is not in memory was taken for queued. It is now read from the store, cancel first. And only the age of the configuration limited what was told: with the system's rows silent and the operator's answered, an entry that no other hears said running 12 s after others had said completed.

--- a/packages/entry/src/samphiredeal/entry/graphs/call_handler.py
+++ b/packages/entry/src/samphiredeal/entry/graphs/call_handler.py
@@ -11,6 +11,7 @@
 from samphiredeal.entry.graphs.first_tries import FirstTries
 from samphiredeal.entry.graphs.in_doubt import InDoubtCalls
 from samphiredeal.entry.graphs.write_resolver import WriteResolver
+from samphiredeal.entry.unreadable import log_unreadable_row
 from samphiredeal.model import answers
 from samphiredeal.model.answers import JobAnswer
 from samphiredeal.model.graph import JobRecord
@@ -23,6 +24,7 @@
     Row,
 )
 from samphiredeal.policy.graphs import records
+from samphiredeal.policy.graphs.state import CANCELLED, FINAL_STATES, QUEUED
 
 # A probe is sent every 0.1 s, and a healthy store answers it within milliseconds.
 _PROBE_TIMEOUT_S = 0.3
@@ -175,6 +177,13 @@
                 return
             await deferLater(self._clock, min(_PROBE_POLL_INTERVAL_S, left_s))
 
+    def _has_recent_rows(self):
+        """Return whether states and counts may be told by the rows in memory.
+
+        An entry that has just started may know the configuration before these rows.
+        """
+        return self._store_health.rows_age_s <= self._config_max_age_s
+
     def _lacks_current_rows(self):
         """Return whether the rows in memory are too old to serve calls by them."""
         too_old = self._store_health.config_age_s > self._config_max_age_s
@@ -203,6 +212,10 @@
         return queue, call.path[len(queue.path_prefix) :], None
 
     async def _serve(self, call, queue, job_id):
+        if call.verb == answers.GET_STATE and not self._has_recent_rows():
+            age_s = self._store_health.rows_age_s
+            reason = f"the system's rows were last confirmed {age_s:.1f} s ago"
+            return _not_done(reason, age_s)
         if not job_id and call.verb == answers.GET_STATE:
             count = self._view.count_waiting(queue.name)
             return JobAnswer(answers.WAITING, waiting=count)
@@ -276,7 +289,32 @@
         if self._view.is_running(job_id):
             wait_s = min(_COMPLETION_WRITE_S, _WAIT_TIME_SHARE * call.wait_s)
             await self._view.wait_until_ended(job_id, wait_s)
-        state = self._view.state_of(job_id) or "queued"
+        state = self._view.state_of(job_id)
+        if state is None:
+            # Accepted by another entry; its row has not been received yet.
+            return await self._read_state(job_id)
+        return JobAnswer(answers.STATE, state=state)
+
+    async def _read_state(self, job_id):
+        """Return the answer with a job's state as it is in the store.
+
+        The cancel is read first: an end that is stored after a cancel is a cancelled
+        one, so no later state can be missed between the two.
+        """
+        cancel = await self._table.read(work.cancel_key(job_id))
+        progress = await self._table.read(work.progress_key(job_id))
+        for row in (cancel, progress):
+            if not isinstance(row, Row):
+                return _not_done(f"no answer from the store: {row.reason}")
+        state = QUEUED
+        if progress.version:
+            try:
+                state = records.decode(progress.value, records.Progress).state
+            except ValueError as error:
+                # Left by another writer; the job has no progress then.
+                log_unreadable_row(progress, error)
+        if cancel.version and state not in FINAL_STATES:
+            state = CANCELLED
         return JobAnswer(answers.STATE, state=state)
 
     async def _check_accepted(self, job_id):
