Acknowledge an end only once its report has been applied

An end was acknowledged to its worker although applying its report had failed: the report counted as received before that, and the next commit, even an empty one, acknowledged all that it listed. An internal error would so start a task again that had ended.

--- a/packages/entry/src/samphiredeal/entry/graphs/sessions.py
+++ b/packages/entry/src/samphiredeal/entry/graphs/sessions.py
@@ -60,6 +60,8 @@
         # worker.
         self.no_worker_since = None
         self.report = None
+        # The last report that the scheduler has applied without an error.
+        self.applied_report = None
         self.report_number = 0
         self.orders_sent_at = float("-inf")
         self.incarnation = ""
@@ -144,10 +146,10 @@
         self._store_places()
 
     def last_completions(self):
-        """Return {name: (incarnation, number)} of the last completions reported."""
+        """Return {name: (incarnation, number)} of the last completions applied."""
         completions = {}
         for session in self._sessions.values():
-            report = session.report
+            report = session.applied_report
             if report is not None and report.worker is not None and report.ended:
                 last = max(ended.number for ended in report.ended)
                 completions[session.name] = (report.worker.life, last)
@@ -331,6 +333,7 @@
             session.incarnation = incarnation
             session.completions_recorded = session.completions_sent = 0
         self._dispatcher.report_received(session.name, report)
+        session.applied_report = report
 
     # Failures
 
