Let a cancel that is stored before an end overrule it

A caller was told cancelled, and then completed: a job had ended in the scheduler's memory, its caller's cancel was acknowledged before the end was stored, and the end was written without the condition that there is no cancel, which only active jobs had.

--- a/packages/entry/src/samphiredeal/entry/graphs/dispatcher.py
+++ b/packages/entry/src/samphiredeal/entry/graphs/dispatcher.py
@@ -67,7 +67,7 @@
         self._leadership = leadership
         self._scheduler = GraphScheduler(host.far_factor, host.gang_start_s)
         self._sessions = Sessions(host, leadership, self)
-        self._progress_store = ProgressStore(host.table.limits)
+        self._progress_store = ProgressStore(host.table.limits, host.view.is_end_stored)
         self._completions_logged = set()
         self._workers_seen = set()
         self._started_at = self._clock.seconds()
@@ -126,7 +126,7 @@
             self._progress_store.forget(job_id)
             self._completions_logged.discard(job_id)
         for job_id in view.cancels:
-            scheduler.cancel_job(job_id, now)
+            scheduler.cancel_job(job_id, now, view.is_end_stored(job_id))
         for name, stored in view.workers.items():
             scheduler.add_worker(name, stored.value.zone)
             if name not in self._workers_seen and name in view.speeds:
@@ -401,12 +401,22 @@
         if row.key == work.EPOCH_KEY:
             self._leadership.step_down("a write was rejected: newer epoch in the store")
         elif prefix + "/" == work.cancel_key(""):
-            self._scheduler.cancel_job(job_id, self._clock.seconds())
+            self._handle_cancel_conflict(job_id)
         else:
             # The row was written by an earlier try of ours that had timed out.
             self._progress_store.raise_version(job_id, row.version)
             self._update_versions()
 
+    def _handle_cancel_conflict(self, job_id):
+        now = self._clock.seconds()
+        job = self._scheduler.jobs.get(job_id)
+        if job is not None and job.active:
+            self._scheduler.cancel_job(job_id, now)
+        else:
+            # An earlier try may have stored its end before the cancel; the rows, which
+            # come in order, tell which was first.
+            self._next_write_at = now + _STORE_RETRY_DELAY_S
+
     def _update_versions(self):
         """Raise the expected versions to those of the rows in the view."""
         for job_id, stored in self._view.progress.items():
--- a/packages/entry/src/samphiredeal/entry/graphs/progress_store.py
+++ b/packages/entry/src/samphiredeal/entry/graphs/progress_store.py
@@ -19,6 +19,7 @@
 from samphiredeal.entry.graphs import work
 from samphiredeal.platform.table import Condition, Put
 from samphiredeal.policy.graphs import progress_rows
+from samphiredeal.policy.graphs.state import CANCELLED
 
 # Operations of the scheduler's own: the condition on its epoch, and its heartbeat.
 _OWN_OPERATIONS = 2
@@ -117,10 +118,14 @@
 
 
 class ProgressStore:
-    """Composes the writes of one scheduler's term."""
+    """Composes the writes of one scheduler's term.
 
-    def __init__(self, limits):
+    `is_end_stored(job_id)` tells whether a row says that a job has ended.
+    """
+
+    def __init__(self, limits, is_end_stored):
         self._limits = limits
+        self._is_end_stored = is_end_stored
         self._versions = {}
         self._splits = {}
         # Of jobs in one row: the units as last stored, or the row that holds them.
@@ -211,7 +216,7 @@
         conditions = [
             Condition(work.progress_key(job.id), self._versions.get(job.id, 0))
         ]
-        if job.active:
+        if job.state != CANCELLED and not self._is_end_stored(job.id):
             conditions.append(Condition(work.cancel_key(job.id), 0))
         head, split = self._encode_head(job)
         if not room.take(len(conditions) + 1, len(head.data)):
--- a/packages/entry/tests/test_progress_store.py
+++ b/packages/entry/tests/test_progress_store.py
@@ -14,6 +14,7 @@
 from samphiredeal.platform.table import Condition, Limits, Put
 from samphiredeal.policy.graphs import records
 from samphiredeal.policy.graphs.scheduler import GraphScheduler
+from samphiredeal.policy.graphs.state import FINAL_STATES
 
 LIMITS = Limits(row_bytes=4_000, write_bytes=30_000, operations=20)
 EPOCH = Condition("epoch", 1)
@@ -28,9 +29,14 @@
         self.limits = limits
         self.rows = {}
         self.version = 0
-        self.progress = ProgressStore(limits)
+        self.progress = ProgressStore(limits, self.is_end_stored)
         self.writes = 0
 
+    def is_end_stored(self, job_id):
+        head = self.rows.get(f"progress/{job_id}")
+        progress = records.decode(head, records.Progress) if head else None
+        return progress is not None and progress.state in FINAL_STATES
+
     def write_all(self):
         """Write until nothing is left; return the number of writes."""
         before = self.writes
--- a/packages/policy/src/samphiredeal/policy/graphs/scheduler.py
+++ b/packages/policy/src/samphiredeal/policy/graphs/scheduler.py
@@ -110,10 +110,16 @@
         for placement in placements:
             self._worker(placement.worker, "").add(placement)
 
-    def cancel_job(self, job_id, now):
-        """Cancel an active job; the next plan stops its runs."""
+    def cancel_job(self, job_id, now, is_end_stored=True):
+        """Cancel an active job; the next plan stops its runs.
+
+        A job that has ended is cancelled too if its end is not stored: its caller may
+        already have been told that it is.
+        """
         job = self.jobs.get(job_id)
-        if job is not None and job.active:
+        if job is None or job.state == CANCELLED:
+            return
+        if job.active or not is_end_stored:
             job.end(CANCELLED, "cancelled by its caller", now)
 
     def fail_unstorable_job(self, job_id, reason, now):
--- a/tests/test_told_outside.py
+++ b/tests/test_told_outside.py
@@ -5,6 +5,7 @@
 process be lost that alone remembers what an answer rests on.
 """
 
+import contextlib
 from io import BytesIO
 from types import SimpleNamespace
 
@@ -13,6 +14,7 @@
 from builders import make_job
 from builders import make_world as make_cluster
 from graph_world import check_invariants, make_graph_world, set_store_silent
+from outside_view import OutsideView
 from twisted.internet.defer import ensureDeferred
 from twisted.internet.task import Clock, deferLater
 from twisted.web.test.requesthelper import DummyRequest
@@ -26,6 +28,7 @@
 from samphiredeal.platform.memory import Faults, MemoryTable
 from samphiredeal.platform.memory_worker import Work
 from samphiredeal.platform.table import CALL_TIMEOUT_S
+from samphiredeal.policy.graphs import reports
 from samphiredeal.wire.messages import JobNotice
 
 STEP = {"count": 1, "cpu": 1000, "mem-mb": 1000, "gpu": 1, "estimated-ms": 1000}
@@ -258,6 +261,26 @@
     assert len(world.event_log.starts(TASK)) == 1
 
 
+# Guards against `completed` after `cancelled`: a job has ended, and before its end is
+# stored a cancel is acknowledged (inc-twice, found by its review).
+@pytest.mark.parametrize("later_s", [0.0, 0.02, 0.05, 0.1, 0.15, 0.2])
+def test_cancel_that_is_stored_before_the_end_stays_what_is_told(later_s):
+    world, first, second = make_world()
+    assert submit(world, first).kind == answers.ACCEPTED
+    world.run_until(lambda: world.event_log.starts(TASK), 3.0)
+    set_store_silent(world, True)
+    world.run_until(lambda: len(world.event_log.events) > 1, 3.0)
+    view = OutsideView(world, ["a1"])
+    world.run(3.0)
+    set_store_silent(world, False)
+    world.run(later_s)
+    for entry in (first, second):
+        world.call(entry, answers.CANCEL, PATH)
+    world.run(4.0)
+    assert view.violations() == []
+    assert view.unfinished() == []
+
+
 # Guards against a start after a cancel that was acknowledged, if all VMs lose power.
 @pytest.mark.parametrize("later_s", [0.0, 0.1, 0.5])
 def test_acknowledged_cancel_outlasts_a_loss_of_all_vms(later_s):
@@ -424,6 +447,33 @@
     assert len(world.event_log.starts(TASK)) == 1
 
 
+# Guards against an end that is acknowledged although its report could not be applied:
+# an internal error would let the task start again (inc-twice, found by its review).
+@pytest.mark.parametrize("errors", [1, 3, 12])
+def test_end_whose_report_fails_to_apply_is_not_acknowledged(monkeypatch, errors):
+    world, first, _second = make_world()
+    assert submit(world, first).kind == answers.ACCEPTED
+    world.run_until(lambda: world.event_log.starts(TASK), 3.0)
+    view = OutsideView(world, ["a1"])
+    apply, left = reports._apply_completion, [errors]
+
+    def fail_at_first(*arguments):
+        left[0] -= 1
+        if left[0] >= 0:
+            raise RuntimeError("an internal error")
+        apply(*arguments)
+
+    monkeypatch.setattr(reports, "_apply_completion", fail_at_first)
+    for _ in range(280):
+        # The reactor logs what a message's receiver raises.
+        with contextlib.suppress(RuntimeError):
+            world.run(0.05)
+    assert left[0] < 0
+    assert view.violations() == []
+    assert view.unfinished() == []
+    assert len(world.event_log.starts(TASK)) == 1
+
+
 # Guards against a third start of a task that may fail twice: the first end `failed` is
 # listed after the run was given up, and is acknowledged without being counted.
 def test_end_that_is_listed_late_counts_as_an_attempt():
