Keep calls in doubt when another entry or a later try refuses them

One attempt to submit a job was answered 401, and the job ran: the entry that was asked first had not replied, and the refusal of the next one, or of the entry itself, was taken for definite. A retry that was refused for its key also ended a doubt, and a job whose submission was in doubt was said to be unknown (410) to its cancel.

--- a/packages/entry/src/samphiredeal/entry/graphs/call_handler.py
+++ b/packages/entry/src/samphiredeal/entry/graphs/call_handler.py
@@ -103,7 +103,7 @@
                     relayed = await self._relay(
                         self._with_remaining_time(call, began_at)
                     )
-                    answer = _prefer_relayed(answer, relayed)
+                    answer = _prefer_relayed(call, answer, relayed)
             answer = self._in_doubt.correct(call, answer)
         finally:
             self._in_flight -= 1
@@ -145,7 +145,7 @@
             return relayed
         await self._wait_for_probe(call, began_at)
         answer = await self._answer_here(self._with_remaining_time(call, began_at))
-        return _prefer_relayed(answer, relayed)
+        return _prefer_relayed(call, answer, relayed)
 
     def _with_remaining_time(self, call, began_at):
         """Return a call with `wait_s` reduced by the time spent so far."""
@@ -387,12 +387,12 @@
     )
 
 
-def _prefer_relayed(answer, relayed):
+def _prefer_relayed(call, answer, relayed):
     """Return the relayed answer, if any, where this entry's own is not definite.
 
     So a call is refused only if neither entry can have applied it.
     """
-    if relayed is None or answer.kind not in (answers.NOT_DONE, answers.UNSETTLED):
+    if relayed is None or answers.is_definite(call, answer, relayed):
         return answer
     return relayed
 
--- a/packages/entry/src/samphiredeal/entry/graphs/in_doubt.py
+++ b/packages/entry/src/samphiredeal/entry/graphs/in_doubt.py
@@ -21,21 +21,29 @@
     def correct(self, call, answer):
         """Return the answer to a call, given the result `answer` of this try of it.
 
-        "not-done" becomes "unsettled" while an earlier try is in doubt.
+        "not-done" becomes "unsettled" while an earlier try is in doubt, and so does "no
+        such job" while a submission is. Other refusals say nothing of earlier tries.
         """
-        if call.verb == answers.GET_STATE:
-            return answer
         self._drop_expired()
         key = (call.verb, call.host, call.path)
+        is_unknown = answer.kind == answers.NO_JOB
+        if is_unknown and self._is_submission_in_doubt(call):
+            reason = "a submission of this job may still take effect"
+            return answer._replace(kind=answers.UNSETTLED, reason=reason)
+        if call.verb == answers.GET_STATE:
+            return answer
         if answer.kind == answers.UNSETTLED:
             self._calls[key] = self._clock.seconds()
-        elif answer.kind != answers.NOT_DONE:
+        elif answer.kind in answers.EFFECTIVE:
             self._calls.pop(key, None)
-        elif key in self._calls:
+        elif answer.kind == answers.NOT_DONE and key in self._calls:
             reason = f"an earlier try may still take effect; this try: {answer.reason}"
             return answer._replace(kind=answers.UNSETTLED, reason=reason)
         return answer
 
+    def _is_submission_in_doubt(self, call):
+        return (answers.SUBMIT, call.host, call.path) in self._calls
+
     def _drop_expired(self):
         oldest = self._clock.seconds() - IN_DOUBT_S
         for key, at in list(self._calls.items()):
--- a/packages/entry/src/samphiredeal/entry/graphs/relay.py
+++ b/packages/entry/src/samphiredeal/entry/graphs/relay.py
@@ -30,8 +30,6 @@
 # How long an entry that could not be reached is tried last: its VM is partitioned or
 # powered off, and each try costs a caller the timeout of a hanging connection.
 _UNREACHABLE_PENALTY_S = 60.0
-# Answers of an entry that could not serve the call either.
-_UNHELPFUL_ANSWERS = (answers.NOT_DONE, answers.UNSETTLED)
 
 
 class Relay:
@@ -84,7 +82,7 @@
                 answer=answer.kind,
                 reason=answer.reason[:200],
             )
-            if answer.kind not in _UNHELPFUL_ANSWERS:
+            if answers.is_definite(call, answer, unsettled_answer):
                 return answer
             if answer.kind == answers.UNSETTLED:
                 unsettled_answer = answer
--- a/tests/test_told_outside.py
+++ b/tests/test_told_outside.py
@@ -212,6 +212,18 @@
     assert answer.kind == answers.UNSETTLED
 
 
+# Guards against "no such job" for one whose submission this entry has in doubt: the job
+# may run after its cancel was answered so.
+@pytest.mark.parametrize("verb", [answers.CANCEL, answers.GET_STATE])
+def test_job_in_doubt_is_not_said_to_be_unknown(verb):
+    world, first, _second = make_world()
+    held = submit_into_doubt(world, first, is_answered=True)
+    answer = world.wait_for_answer(world.call(first, verb, PATH))
+    assert answer.kind == answers.UNSETTLED
+    end_silence(world, held)
+    assert world.state(first, "a1") == "completed"
+
+
 # Guards against a start after a caller's cancel was answered with "no such job", while
 # the submission was pending at the store.
 @pytest.mark.parametrize("is_answered", [False, True])
