Keep a state that another entry gave from falling back

An entry that does not hear the store relays completed from another one; if the store then falls silent for all, or no other entry is reached, it said running by its own older rows, 0.55 s later. It remembers what others told, which is by stored rows and so stays true. test_state_that_another_entry_gave_does_not_fall_back failed before.

--- a/packages/entry/src/samphiredeal/entry/graphs/call_handler.py
+++ b/packages/entry/src/samphiredeal/entry/graphs/call_handler.py
@@ -10,6 +10,7 @@
 from samphiredeal.entry.graphs import work
 from samphiredeal.entry.graphs.first_tries import FirstTries
 from samphiredeal.entry.graphs.in_doubt import InDoubtCalls
+from samphiredeal.entry.graphs.relayed_states import RelayedStates
 from samphiredeal.entry.graphs.write_resolver import WriteResolver
 from samphiredeal.entry.unreadable import log_unreadable_row
 from samphiredeal.model import answers
@@ -80,6 +81,7 @@
         self._write_resolver = WriteResolver(clock, table, store_health)
         self._in_doubt = InDoubtCalls(clock)
         self._first_tries = FirstTries(clock)
+        self._relayed_states = RelayedStates()
         self._config_max_age_s = config_max_age_s
         self._relay = relay
         self._in_flight = 0
@@ -142,6 +144,8 @@
         began_at = self._clock.seconds()
         relayed = await self._relay(call)
         if relayed is not None and relayed.kind != answers.UNSETTLED:
+            if relayed.kind == answers.STATE:
+                self._relayed_states.record(_job_id(call), relayed.state)
             return relayed
         await self._wait_for_probe(call, began_at)
         answer = await self._answer_here(self._with_remaining_time(call, began_at))
@@ -293,6 +297,7 @@
         if state is None:
             # Accepted by another entry; its row has not been received yet.
             return await self._read_state(job_id)
+        state = self._relayed_states.furthest(job_id, state)
         return JobAnswer(answers.STATE, state=state)
 
     async def _read_state(self, job_id):
@@ -348,7 +353,7 @@
         """
         if answer.kind != answers.STATE:
             return 0
-        return self._view.version_of_state(call.path.rpartition("/")[2])
+        return self._view.version_of_state(_job_id(call))
 
     def _log_answer(self, call, answer, began_at):
         log_message(
@@ -369,6 +374,11 @@
         )
 
 
+def _job_id(call):
+    """Return the last part of a call's path."""
+    return call.path.rpartition("/")[2]
+
+
 def _log_not_stored(record, answer):
     """Log what a job would have been that is not known to be stored."""
     log_message(
--- a/tests/test_told_outside.py
+++ b/tests/test_told_outside.py
@@ -432,6 +432,25 @@
     assert answer.state in ("completed", "")
 
 
+# Guards against a state that falls back as an entry cannot ask others any more, and
+# answers by its own older rows.
+def test_state_that_another_entry_gave_does_not_fall_back():
+    world, first, second = make_world()
+    world.work_of[TASK] = Work(2.5)
+    assert submit(world, second).kind == answers.ACCEPTED
+    world.run_until(lambda: world.event_log.starts(TASK), 3.0)
+    world.run(0.3)
+    set_store_silent(world, True, [first])
+    world.run_until(lambda: world.state(second, "a1") == "completed", 3.0)
+    assert world.nodes[first].process.view.state_of("a1") == "running"
+    assert world.state(first, "a1") == "completed"
+    set_store_silent(world, True)
+    lose_entry(world, first, "cut off")
+    for _ in range(30):
+        world.run(0.1)
+        assert world.state(first, "a1") in ("completed", answers.NOT_DONE)
+
+
 # Ends that are acknowledged to workers
 
 
