--- a/packages/platform/src/samphiredeal/platform/table.py
+++ b/packages/platform/src/samphiredeal/platform/table.py
@@ -135,12 +135,15 @@
 
     def deliver(value):
         if not limited.called:
-            timer.cancel()
+            # A timer that was due while its process was paused is not active any more.
+            if timer.active():
+                timer.cancel()
             limited.callback(value)
         return value
 
     def give_up():
-        limited.callback(Unavailable(f"no answer within {seconds:.1f} s"))
+        if not limited.called:
+            limited.callback(Unavailable(f"no answer within {seconds:.1f} s"))
 
     timer = clock.callLater(max(0.0, seconds), give_up)
     answer.addCallback(deliver)
--- a/packages/platform/tests/test_table.py
+++ b/packages/platform/tests/test_table.py
@@ -7,6 +7,8 @@
 import pytest
 from reactor_thread import call_in_reactor
 from twisted.internet import reactor
+from twisted.internet.defer import Deferred
+from twisted.internet.task import Clock
 from twisted.web.server import Site
 
 from samphiredeal.platform.client import HttpClient, HttpObjects, HttpTable
@@ -20,6 +22,7 @@
     Put,
     Row,
     Unavailable,
+    within,
     write_until_resolved,
 )
 from samphiredeal.standins.platform import make_platform
@@ -126,3 +129,23 @@
     assert call_in_reactor(objects.get, "o/1") == NO_OBJECT
     assert call_in_reactor(objects.put, "o/1", b"\x00\xff") == STORED
     assert call_in_reactor(objects.get, "o/1") == b"\x00\xff"
+
+
+# Guards against a caller that waits for ever: the time limit of an answer was due while
+# the process was paused, and the answer comes first after that.
+def test_limited_answer_that_arrives_after_a_pause_is_delivered():
+    clock, paused = Clock(), []
+    limit_s, answer = 1.0, Deferred()
+
+    class PausedClock:
+        def callLater(self, delay, function):
+            return clock.callLater(delay, paused.append, function)
+
+    limited = within(PausedClock(), limit_s, answer)
+    clock.advance(2 * limit_s)
+    answer.callback(Committed({}))
+    for function in paused:
+        function()
+    received = []
+    limited.addCallback(received.append)
+    assert received == [Committed({})]
