Tests: losses around the telling of an end

With the fix the losses of test_told_ends.py fall before anything is told. 18 plays lose the entries, the agent and the worker, or all VMs up to 1 s after the return of the store; with 0.5 s or more the end has been told before the loss.

--- a/tests/test_told_ends.py
+++ b/tests/test_told_ends.py
@@ -126,3 +126,23 @@
     world.run(1.5)
     end_silence(world, view)
     assert len(world.event_log.starts(TASK)) == 1
+
+
+# Guards against a loss after the telling: the end is stored and told at the return, and
+# then the worker and all entries are lost, while other processes may not know of it.
+@pytest.mark.parametrize("lost", ["the entries", "the entries and the agent", "all"])
+@pytest.mark.parametrize("later_s", [0.0, 0.1, 0.2, 0.3, 0.5, 1.0])
+def test_losses_around_the_telling_start_nothing_after_it(later_s, lost):
+    world, view, worker = make_world_with_end()
+    world.run(1.7)
+    set_store_silent(world, False)
+    world.run(later_s)
+    names = {"the entries": [], "the entries and the agent": [worker]}
+    told_at = view.first_told("a1", "completed")
+    world.lose_worker(worker)
+    world.clock.callLater(9.0, world.return_worker, worker)
+    restart_all(world, names.get(lost, list(world.workers)) + list(ENTRIES), 0.0, 0.6)
+    end_silence(world, view)
+    starts = world.event_log.starts(TASK)
+    assert len(starts) == 1 or told_at is None
+    assert later_s < 0.5 or told_at is not None
