--- a/packages/entry/src/samphiredeal/entry/graphs/work.py
+++ b/packages/entry/src/samphiredeal/entry/graphs/work.py
@@ -198,6 +198,7 @@
                 # One malformed row must not keep the others from being applied.
                 write_traceback()
                 log_unreadable_row(row, error)
+        self._notify_of_ends()
         self._on_change()
 
     def _apply_row(self, row):
@@ -225,12 +226,15 @@
         if record_type in (WorkerRecord, PlaceRecord, EntryRecord):
             untrusted.parse_address(value.address)
         entries[name] = Versioned(value, row.version)
-        self._notify_if_ended(name)
 
-    def _notify_if_ended(self, job_id):
-        """Fire the waiters for a job's end if it has ended."""
+    def _notify_of_ends(self):
+        """Fire the waiters for the ends of jobs that have ended.
+
+        Only between batches: a cancel may come before the earlier end of its job.
+        """
         waiters = self._completion_waiters
-        if job_id in waiters and self.state_of(job_id) in FINAL_STATES:
+        ended = [one for one in waiters if self.state_of(one) in FINAL_STATES]
+        for job_id in ended:
             for waiter in waiters.pop(job_id):
                 waiter.callback(None)
 
--- a/tests/test_fresh_state.py
+++ b/tests/test_fresh_state.py
@@ -2,7 +2,9 @@
 
 import pytest
 from graph_world import STEP_S, make_graph_world
+from twisted.internet.task import Clock
 
+from samphiredeal.entry.graphs.work import WorkView
 from samphiredeal.model import answers
 
 STEP = {"count": 1, "cpu": 1000, "mem-mb": 1000, "gpu": 1, "estimated-ms": 1000}
@@ -47,3 +49,22 @@
     world.call("e0", answers.CANCEL, "/normal/a1")
     world.run(0.1)
     assert answers_received[0].state == "cancelled"
+
+
+# Guards against a caller who is told `cancelled` of a completed job, as in a snapshot
+# the cancel comes before the progress (inc-twice, found by its review).
+def test_waiting_caller_is_told_the_state_by_all_rows_of_a_snapshot():
+    world = make_graph_world()
+    world.submit("e0", "a1", [STEP])
+    world.run_until(lambda: world.event_log.starts("a1.0.0.0"), 5.0)
+    world.run(0.3)
+    before = list(world.table.rows.values())
+    world.run(3.0)
+    world.wait_for_answer(world.call("e0", answers.CANCEL, "/normal/a1"))
+    after = sorted(world.table.rows.values(), key=lambda row: row.key)
+    view, told = WorkView(Clock(), lambda: None), []
+    view.on_rows(before, is_snapshot=True)
+    waiter = view.wait_until_ended("a1", 1.0)
+    waiter.addCallback(lambda _: told.append(view.state_of("a1")))
+    view.on_rows(after, is_snapshot=True)
+    assert told == ["completed"]
