Log the row that decides a told state, and which jobs a new scheduler takes as active

state_version was that of an older row here for a state that another entry gave, and that of a later cancel for a completed job; term_began had counts only, so nobody could look a job up.

--- a/packages/entry/src/samphiredeal/entry/graphs/call_handler.py
+++ b/packages/entry/src/samphiredeal/entry/graphs/call_handler.py
@@ -346,14 +346,14 @@
         return JobAnswer(answers.UNSETTLED, reason=reason, retry_after_s=wait_s)
 
     def _state_version(self, call, answer):
-        """Return the version of the row by which this entry knows a state, or 0.
+        """Return the version of the row here that says the state, or 0 if none does.
 
-        It is 0 for a job without progress. Of a relayed call, the entry that gave the
-        state logs the version on which it rests.
+        Of a state that another entry gave, that one logs the version.
         """
-        if answer.kind != answers.STATE:
+        job_id = _job_id(call)
+        if answer.kind != answers.STATE or answer.state != self._view.state_of(job_id):
             return 0
-        return self._view.version_of_state(_job_id(call))
+        return self._view.version_of_state(job_id)
 
     def _log_answer(self, call, answer, began_at):
         log_message(
--- a/packages/entry/src/samphiredeal/entry/graphs/dispatcher.py
+++ b/packages/entry/src/samphiredeal/entry/graphs/dispatcher.py
@@ -51,6 +51,8 @@
 _MAX_SPEEDS_PER_WRITE = 20
 # Steps of a job that are described in the log.
 _LOGGED_STEPS = 12
+# Active jobs that are named in the log as a term begins.
+_LOGGED_JOBS = 100
 # How often new checkpoints of running work are stored, so that they survive the loss of
 # every scheduler's memory.
 _CHECKPOINT_INTERVAL_S = 2.5
@@ -95,11 +97,13 @@
     def _log_term(self):
         """Log what this scheduler knows of the jobs as its term begins."""
         jobs = self._scheduler.jobs.values()
+        active = sorted(job.id for job in jobs if job.active)
         log_message(
             message_type="term_began",
             epoch=self._leadership.epoch,
             jobs=len(jobs),
-            active=sum(job.active for job in jobs),
+            active=len(active),
+            active_jobs=active[:_LOGGED_JOBS],
             ends_by_rows=sum(self._view.is_end_stored(job.id) for job in jobs),
             rows_version=self._host.rows_version(),
         )
--- a/packages/entry/src/samphiredeal/entry/graphs/work.py
+++ b/packages/entry/src/samphiredeal/entry/graphs/work.py
@@ -264,8 +264,10 @@
 
     def version_of_state(self, job_id):
         """Return the version of the row that says a job's state, or 0 if none does."""
-        rows = (self.progress.get(job_id), self.cancels.get(job_id))
-        return max((row.version for row in rows if row is not None), default=0)
+        row = self.progress.get(job_id)
+        if not self.is_end_stored(job_id):
+            row = self.cancels.get(job_id, row)
+        return row.version if row is not None else 0
 
     def is_end_stored(self, job_id):
         """Return whether a row says that a job has ended."""
--- a/tests/test_incident_logs.py
+++ b/tests/test_incident_logs.py
@@ -94,6 +94,7 @@
     first, second = logged("term_began")
     assert first["jobs"] == 0 and second["epoch"] == first["epoch"] + 1
     assert (second["jobs"], second["active"], second["ends_by_rows"]) == (2, 1, 1)
+    assert second["active_jobs"] == ["a2"]
     assert second["rows_version"] > first["rows_version"]
 
 
@@ -108,3 +109,22 @@
     version = world.table.rows["progress/a1"].version
     assert (line["state"], line["state_version"]) == ("completed", version)
     assert line["rows_age_s"] < 1.0
+    # A later cancel changes nothing.
+    world.wait_for_answer(world.call(entry, answers.CANCEL, "/normal/a1"))
+    world.run(0.5)
+    assert world.state(entry, "a1") == "completed"
+    assert logged("call_answered")[-1]["state_version"] == version
+
+
+# Of a relayed state the version of an older row here was logged (inc-twice).
+def test_state_of_another_entry_is_logged_without_a_version_here(logged):
+    world = make_graph_world()
+    entry, other = (name for name in ("e0", "e1", "e2") if name != world.scheduler())
+    world.submit("e0", "a1", [{**STEP, "estimated-ms": 2500}])
+    world.run(0.5)
+    world.nodes[entry].faults.silent = True
+    world.run_until(lambda: world.state(other, "a1") == "completed", 5.0)
+    assert world.state(entry, "a1") == "completed"
+    here, there = logged("call_answered")[-1], logged("call_answered")[-2]
+    assert here["state_version"] == 0
+    assert there["state_version"] == world.table.rows["progress/a1"].version
