Do not answer not-run in the /v1 interface where a call may have had an effect

Every error was answered with the verdict not-run: a request that failed in the entry after its dispatch, and a cancel whose write the table did not answer and applied.

--- a/packages/entry/src/samphiredeal/entry/api.py
+++ b/packages/entry/src/samphiredeal/entry/api.py
@@ -258,7 +258,8 @@
     job_id = _path_name(request)
     record = await node.jobs.cancel(job_id)
     if isinstance(record, Unavailable):
-        raise BadRequest("the table does not answer; cancel again", 503)
+        text = "the table does not answer; cancel again"
+        raise BadRequest(text, 503, verdict.MAY_HAVE_RUN)
     if record is None:
         raise BadRequest(f"job.id: {job_id!r} is unknown", 404)
     if record.state == "active":
--- a/packages/entry/src/samphiredeal/entry/http.py
+++ b/packages/entry/src/samphiredeal/entry/http.py
@@ -7,6 +7,8 @@
 from twisted.web.resource import Resource
 from twisted.web.server import NOT_DONE_YET, Request, Site
 
+from samphiredeal.model.verdict import MAY_HAVE_RUN, NOT_RUN
+
 MAX_BODY_BYTES = 8 * 1024 * 1024
 
 VERDICT_HEADER = b"Samphiredeal-Verdict"
@@ -14,12 +16,16 @@
 
 
 class BadRequest(Exception):
-    """The caller's input is invalid; `text` names the field and its value."""
+    """The caller's input is invalid; `text` names the field and its value.
+
+    `verdict` tells whether the call may have had an effect all the same.
+    """
 
-    def __init__(self, text, status=400):
+    def __init__(self, text, status=400, verdict=NOT_RUN):
         super().__init__(text)
         self.status = status
         self.text = text
+        self.verdict = verdict
 
 
 class MemoryRequest(Request):
@@ -74,18 +80,19 @@
         try:
             status, document = await handler(request)
         except BadRequest as error:
-            reject(request, error.status, error.text)
+            reject(request, error.status, error.text, error.verdict)
         except Exception as error:
-            reject(request, 500, f"{type(error).__name__}: {error}")
+            text = f"{type(error).__name__}: {error}"
+            reject(request, 500, text, MAY_HAVE_RUN)
             raise
         else:
             send_response(request, status, document)
 
 
-def reject(request, status, text):
-    """Respond with an error and the verdict ``not-run``."""
-    request.setHeader(VERDICT_HEADER, b"not-run")
-    send_response(request, status, {"error": text, "verdict": "not-run"})
+def reject(request, status, text, verdict=NOT_RUN):
+    """Respond with an error and a verdict."""
+    request.setHeader(VERDICT_HEADER, verdict.encode())
+    send_response(request, status, {"error": text, "verdict": verdict})
 
 
 def send_response(request, status, document):
