Stand-ins: clusters that start side by side use different ports

A worker of one cluster could not listen (errno 98) while another cluster started: ports were probed, then chosen again before the first process listened. free_port returns no port twice in a process, so GraphCluster needs no record of its own. Stand-ins may be started without waiting until they listen, the bounds are public, and the platform stand-in's silent fault is documented. test_graph_processes, test_processes, test_upgrade and test_early: 23 pass. Clusters of different test processes may still collide.

--- a/packages/standins/src/samphiredeal/standins/graph_cluster.py
+++ b/packages/standins/src/samphiredeal/standins/graph_cluster.py
@@ -24,7 +24,7 @@
 CALLERS_HOST = "desk.example"
 KEY = "hall-key"
 _CALL_TIMEOUT_S = 5.0
-_BOUNDS = {
+BOUNDS = {
     "config-apply-ms": 2000,
     "max-stretch-ms": 5000,
     "grace-s": 6,
@@ -51,7 +51,6 @@
         self._readiness_ports = {}
         self._version = 0
         self._roles_and_settings = {}
-        self._used_ports = set()
 
     @property
     def entries(self):
@@ -166,8 +165,8 @@
         return newest[1]
 
     def new_port(self):
-        """Return a free port that this cluster does not use yet."""
-        return self._find_unused_ports(free_port, 1)
+        """Return a free port that no cluster of this process uses yet."""
+        return free_port()
 
     def _store_port(self, _name):
         """Return the port at which a process reaches the store."""
@@ -193,23 +192,14 @@
 
         return wait_for(answer, _CALL_TIMEOUT_S, f"{worker} answers").document
 
-    def _find_unused_ports(self, find_free, count):
-        """Return the first of `count` adjacent free ports not used by this cluster."""
-        while True:
-            first = find_free()
-            ports = set(range(first, first + count))
-            if not ports & self._used_ports:
-                self._used_ports |= ports
-                return first
-
     def _start_on_platform(self, name, role, zone, extra):
-        base = self._find_unused_ports(free_port_pair, 2)
+        base = free_port_pair()
         document = {
             "node": name,
             "zone": zone,
             "ip": HOST,
             "internal-ports": [base, base + 15],
-            "bounds": _BOUNDS,
+            "bounds": BOUNDS,
             "platform": {"address": f"{HOST}:{self._store_port(name)}"},
             **extra,
         }
--- a/packages/standins/src/samphiredeal/standins/launch.py
+++ b/packages/standins/src/samphiredeal/standins/launch.py
@@ -10,40 +10,52 @@
 import socket
 import subprocess
 import sys
+import threading
 import time
 
 HOST = "127.0.0.1"
 STARTUP_TIMEOUT_S = 20.0
 _EXIT_TIMEOUT_S = 15.0
 _PORT_RANGE = (12_000, 32_000)
+_returned_ports = set()
+_ports_lock = threading.Lock()
 
 
 def free_port():
-    """Return a TCP port that is free now.
+    """Return a TCP port that is free now and was not returned before.
 
     It is below the range of ephemeral ports. Otherwise an outgoing connection could
     take it while the process that listens there is down.
     """
-    while True:
-        port = random.randrange(*_PORT_RANGE)
-        with socket.socket() as probe:
-            try:
-                probe.bind((HOST, port))
-            except OSError:
-                continue
-        return port
+    return _find_free_ports(1)
 
 
 def free_port_pair():
-    """Return the first of two adjacent TCP ports that are free now."""
+    """Return the first of two adjacent TCP ports; see `free_port`."""
+    return _find_free_ports(2)
+
+
+def _find_free_ports(count):
+    """Return the first of `count` adjacent ports.
+
+    Clusters that start side by side get different ports before any process listens.
+    """
     while True:
-        first = free_port()
-        with socket.socket() as probe:
-            try:
-                probe.bind((HOST, first + 1))
-            except (OSError, OverflowError):
-                continue
-        return first
+        first = random.randrange(*_PORT_RANGE)
+        ports = set(range(first, first + count))
+        with _ports_lock:
+            if not ports & _returned_ports and all(map(_is_free, ports)):
+                _returned_ports.update(ports)
+                return first
+
+
+def _is_free(port):
+    with socket.socket() as probe:
+        try:
+            probe.bind((HOST, port))
+        except OSError:
+            return False
+    return True
 
 
 def wait_for(condition, seconds, description):
@@ -87,12 +99,17 @@
 
     def start_standin(self, kind, name, **options):
         """Start a stand-in and wait until it listens."""
+        self.begin_standin(kind, name, **options)
+        port = self._ports[name]
+        wait_for(lambda: _listens(port), STARTUP_TIMEOUT_S, f"{name} listens")
+
+    def begin_standin(self, kind, name, **options):
+        """Start a stand-in that listens some time later."""
         port = free_port()
         self._ports[name] = port
         document = {"host": HOST, "port": port, "name": name, **options}
         code = "import sys; from samphiredeal.standins.main import main; main()"
         self._start(name, [sys.executable, "-c", code, kind], document)
-        wait_for(lambda: _listens(port), STARTUP_TIMEOUT_S, f"{name} listens")
 
     def start_entry(self, name, zone, region="north"):
         """Start an entry."""
--- a/packages/standins/src/samphiredeal/standins/platform.py
+++ b/packages/standins/src/samphiredeal/standins/platform.py
@@ -1,7 +1,8 @@
 """A stand-in for the platform's table service and object store.
 
-``POST /faults`` with ``{"down": bool, "delay_s": s, "lose_answers": n}`` makes
-it unavailable or slow, or loses the answers to writes that have been applied.
+``POST /faults`` with ``{"down": bool, "silent": bool, "delay_s": s,
+"lose_answers": n}`` makes it unavailable, silent or slow, or loses the answers to
+writes that have been applied. Both tables are silent for all callers.
 ``POST /aliases`` with a map of addresses has the first replaced by the second in each
 row that is written from then on, so that a proxy can stand before a process that
 announces its own address.
