--- a/packages/platform/src/samphiredeal/platform/memory_worker.py
+++ b/packages/platform/src/samphiredeal/platform/memory_worker.py
@@ -128,7 +128,8 @@
 
     `describe(task)` returns the `Work` of a task. `watch(event, worker, task, run,
     how)` is called for every ``start`` and ``end``, and for every end that is
-    ``recorded``. Tasks take their time divided by `speed`.
+    ``recorded``; ``lapsed``, of no task, tells that the lease has expired. Tasks take
+    their time divided by `speed`.
     """
 
     def __init__(
@@ -308,6 +309,7 @@
         self._lease_timer = self.clock.callLater(left_s, self._lapse)
 
     def _lapse(self):
+        self._watch("lapsed", self, "", 0, "")
         for task in list(self._running.values()):
             task.end(runs.LAPSED)
 
--- a/packages/standins/src/samphiredeal/standins/graph_worker.py
+++ b/packages/standins/src/samphiredeal/standins/graph_worker.py
@@ -259,6 +259,8 @@
         if event == "recorded":
             self._recorded.append((reactor.seconds(), task, run, how))
             return
+        if event == "lapsed":
+            return
         self._history.append((reactor.seconds(), event, task, run, how))
         if event == "start":
             self._starts[task] += 1
