--- a/tests/test_told_outside.py
+++ b/tests/test_told_outside.py
@@ -138,6 +138,7 @@
     scheduler = world.scheduler()
     asked, second = (name for name in ENTRIES if name != scheduler)
     world.nodes[asked].faults.down = True
+    world.network.cut(asked, second)
     world.run(1.5)
     held = HeldWrites(world, scheduler)
     assert submit(world, asked).kind == answers.UNSETTLED
