Finish a gang whose end was listed before the first plan of a term

A gang's job stayed running for ever, 50 s after the return of the store, with one member done: a new scheduler heard the end before its first plan, when no occurrence was open yet, so the job was not closed; then the other member's worker was lost, and nothing looked at the job again. A plan now closes each job whose progress has changed or was restored. Found by the enumeration of losses (scheduler:restart_after:before, vm:kill:silent); the first case of the test failed before.

--- a/packages/policy/src/samphiredeal/policy/graphs/scheduler.py
+++ b/packages/policy/src/samphiredeal/policy/graphs/scheduler.py
@@ -246,7 +246,8 @@
         for job in self.jobs.values():
             if job.active:
                 job.add_due_occurrences(wall_ms)
-                if not job.units:
+                if job.has_changed or not job.units:
+                    job.has_changed = False
                     job.close_finished(now)
         self._measure_speeds(now)
         self._stop_unwanted_runs(now)
--- a/packages/policy/src/samphiredeal/policy/graphs/state.py
+++ b/packages/policy/src/samphiredeal/policy/graphs/state.py
@@ -223,6 +223,8 @@
         self.units = {}
         self._units_of = {}
         self._changed_units = set()
+        # Whether progress has changed since the last plan, or was restored.
+        self.has_changed = True
         # All occurrences below the first number are finished, and those of the set.
         self.finished_before = 0
         self.finished_occurrences = set()
@@ -269,7 +271,7 @@
     def touch(self, unit):
         """Record that the progress of a unit has changed."""
         self._changed_units.add(unit)
-        self.dirty = True
+        self.has_changed = self.dirty = True
 
     def take_changed_units(self):
         """Return the units touched since the last call."""
--- a/packages/policy/tests/test_graph_scheduler.py
+++ b/packages/policy/tests/test_graph_scheduler.py
@@ -543,6 +543,25 @@
     assert later.state("a") == COMPLETED
 
 
+# Guards against a gang that stays unfinished for ever: one member lists its end, which
+# stands for all, before the first plan of a term, and the other's worker is lost then.
+@pytest.mark.parametrize("is_lost_before_the_plan", [False, True])
+def test_gang_ends_if_the_rest_of_it_is_lost_after_its_end(is_lost_before_the_plan):
+    bench = Bench(make_workers())
+    bench.add(make_record("a", [make_step(2, 8, gang=True)]))
+    bench.step().step()
+    job = bench.scheduler.jobs["a"]
+    placed = list(job.units["0.0"].placements.values())
+    later = Bench(bench.facts)
+    later.scheduler.add_job(job.record, records.progress_of(job), 0.0)
+    later.end(placed[0].worker, placed[0].task, 1)
+    if not is_lost_before_the_plan:
+        later.step()
+    later.scheduler.mark_worker_failed(placed[1].worker, "lost")
+    later.step()
+    assert later.state("a") == COMPLETED
+
+
 @pytest.mark.parametrize(
     "steps, field",
     [
