Stand-ins: ports stay reserved against clusters of other processes

Entries and agents could not listen (errno 98) when another test process chose the same port before they did, seen on a busy machine. free_port keeps each port bound: a probe elsewhere is refused, the cluster's own process can listen, a second listener is still refused, and a port without a listener refuses connections. The oldest are closed beyond 400.

--- a/packages/standins/src/samphiredeal/standins/launch.py
+++ b/packages/standins/src/samphiredeal/standins/launch.py
@@ -3,6 +3,8 @@
 All processes listen on loopback. Only processes started here are signalled, by id.
 """
 
+import collections
+import contextlib
 import json
 import os
 import random
@@ -17,7 +19,10 @@
 STARTUP_TIMEOUT_S = 20.0
 _EXIT_TIMEOUT_S = 15.0
 _PORT_RANGE = (12_000, 32_000)
+# Limits the open files; those of the oldest ports are closed first.
+_MAX_RESERVATIONS = 400
 _returned_ports = set()
+_reservations = collections.deque()
 _ports_lock = threading.Lock()
 
 
@@ -38,24 +43,38 @@
 def _find_free_ports(count):
     """Return the first of `count` adjacent ports.
 
-    Clusters that start side by side get different ports before any process listens.
+    Each stays bound, so that clusters of other processes do not take it before a
+    process listens there, or while that process is down.
     """
     while True:
         first = random.randrange(*_PORT_RANGE)
-        ports = set(range(first, first + count))
-        with _ports_lock:
-            if not ports & _returned_ports and all(map(_is_free, ports)):
-                _returned_ports.update(ports)
-                return first
-
-
-def _is_free(port):
-    with socket.socket() as probe:
-        try:
-            probe.bind((HOST, port))
-        except OSError:
-            return False
-    return True
+        ports = range(first, first + count)
+        with _ports_lock, contextlib.ExitStack() as stack:
+            if _returned_ports.intersection(ports):
+                continue
+            try:
+                reservations = [stack.enter_context(_reserve(port)) for port in ports]
+            except OSError:
+                continue
+            stack.pop_all()
+            _returned_ports.update(ports)
+            _reservations.extend(reservations)
+            while len(_reservations) > _MAX_RESERVATIONS:
+                _reservations.popleft().close()
+            return first
+
+
+def _reserve(port):
+    """Return a socket bound to a free port, on which others may listen by choice."""
+    reservation = socket.socket()
+    try:
+        reservation.bind((HOST, port))
+    except OSError:
+        reservation.close()
+        raise
+    # Set only now: a port that another process has bound is not free.
+    reservation.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+    return reservation
 
 
 def wait_for(condition, seconds, description):
