Stand-ins: signal through Popen, which spares ids of exited processes

A fault that signals a process which another fault has ended and reaped could hit another process with its id. Popen checks that first.

--- a/packages/standins/src/samphiredeal/standins/launch.py
+++ b/packages/standins/src/samphiredeal/standins/launch.py
@@ -139,7 +139,8 @@
 
     def signal(self, name, number):
         """Send a signal to a process that was started here."""
-        os.kill(self._processes[name].pid, number)
+        # Popen sends nothing to the id of a process that is known to have exited.
+        self._processes[name].send_signal(number)
 
     def wait(self, name, seconds=_EXIT_TIMEOUT_S):
         """Wait for a process to exit; return its exit status."""
