Soak: ask for states under faults; silence the store for all and lose what held ends

Entries are now asked all the while, on two open connections each. Checks: no start after a told or recorded end, no state that falls back at an entry, or across entries after 4.25 s, no accepted job unknown after 3 s. The store is silent for all for 1 to 6 s; entries, agents and workers are lost in and after that, in series, at once and all together. Old faults keep their random source. Calls of other writers await no answer, which a silent store would delay.

--- a/packages/standins/src/samphiredeal/standins/soak.py
+++ b/packages/standins/src/samphiredeal/standins/soak.py
@@ -6,36 +6,35 @@
 and agents are delayed, blocked in one or both directions, and reset. Workers crash,
 return under the same or another id, born earlier or later, change their id, close
 their listeners and double their heartbeats. Another writer leaves malformed rows in
-the store and sends malformed heartbeats and frames. Then removes all faults and checks
-invariants from the job states and the workers' histories, and that every worker gets
-starts again.
+the store and sends malformed heartbeats and frames. The store is silent for all at
+once, and entries, agents and workers are lost together within that and after it.
+Meanwhile all entries are asked for the states of the accepted jobs. Then removes all
+faults and checks invariants from the job states and the workers' histories, and that
+every worker gets starts again.
 The exit status is 1 if an invariant was violated; the logs of all processes stay in the
 folder that is printed.
 """
 
-import base64
-import contextlib
-import http.client
+import concurrent.futures
 import json
 import os
 import random
 import signal
-import socket
 import sys
 import tempfile
 import time
 
 import defopt
 
-from samphiredeal.standins import proxy
-from samphiredeal.standins.graph_cluster import (
-    CALLERS_HOST,
-    KEY,
-    GraphCluster,
-    Reply,
-    post,
+from samphiredeal.standins import proxy, soak_checks, soak_faults
+from samphiredeal.standins.launch import wait_for
+from samphiredeal.standins.soak_calls import (
+    CALL_TIMEOUT_S,
+    OpenConnection,
+    StateAsker,
+    clock,
 )
-from samphiredeal.standins.launch import HOST, wait_for
+from samphiredeal.standins.soak_cluster import SoakCluster
 
 WORKERS = 3
 ENTRIES = 2
@@ -52,8 +51,6 @@
 _DISCOVERY_MODES = ("delay", "silent", "reset")
 # Within this time after all faults, every worker gets a start.
 _RETURN_TIMEOUT_S = 10.0
-_CALL_TIMEOUT_S = 5.0
-_CONNECT_TIMEOUT_S = 0.5
 _DEEP = b"[" * 50_000 + b"]" * 50_000
 _MALFORMED_VALUES = (
     _DEEP,
@@ -77,98 +74,30 @@
 _STEP = {"cpu": 1000, "mem-mb": 1000, "gpu": 1, "estimated-ms": 1500}
 
 
-class SoakCluster(GraphCluster):
-    """A cluster whose processes reach each other through proxies.
-
-    Callers keep one connection to each entry open.
-    """
-
-    def __init__(self, folder, program=None):
-        super().__init__(folder, program)
-        self.proxies = {}
-        self._connections = {}
-
-    def start_proxy(self, name, target_port):
-        """Start a proxy in front of a port; return its own port."""
-        control = self.new_port()
-        self.start_standin("proxy", name, target_port=target_port, control_port=control)
-        self.proxies[name] = control
-        return self._ports[name]
-
-    def call(self, entry, verb, path, document=None, key=KEY):
-        """Make a caller's call on the open connection; return the `Reply`."""
-        connection = self._connections.get(entry)
-        if connection is None:
-            connection = self._connections[entry] = http.client.HTTPConnection(
-                HOST, self._caller_ports[entry], timeout=_CALL_TIMEOUT_S
-            )
-        headers = {"Host": CALLERS_HOST, "Authorization": f"Token {key}"}
-        body = None if document is None else json.dumps(document)
-        try:
-            connection.request(verb, path, body, headers)
-            response = connection.getresponse()
-            return Reply(response.status, json.loads(response.read() or b"{}"))
-        except (OSError, http.client.HTTPException):
-            # The next call opens it again.
-            connection.close()
-            return Reply(0, {})
-
-    def put_row(self, key, value):
-        """Write a row into the system's table, as another writer."""
-        location = {"table": "samphiredeal", "part": "", "key": key}
-        put = {**location, "value": base64.b64encode(value).decode()}
-        body = {"expected": [], "puts": [put], "remove": []}
-        post(self.url_of("platform") + "/api/rows-tx", body)
-
-    def send_heartbeat(self, agent, worker_id, body):
-        """Send the bytes of a heartbeat to an agent; its answer doesn't matter."""
-        head = f"POST /api/Instances.Heartbeat/{worker_id} HTTP/1.1\r\nHost: x\r\n"
-        head += f"Content-Length: {len(body)}\r\n\r\n"
-        address = self.settings_of(agent)["listen-addresses"]["control"]
-        _send(int(address.rpartition(":")[2]), head.encode() + body)
-
-    def send_bytes(self, name, data):
-        """Send bytes to the address at which a process accepts links."""
-        _send(self.settings_of(name)["internal-ports"][0], data)
-
-    def set_fault(self, name, mode, delay_s=0.0):
-        """Set the mode of a proxy; ``pass`` removes the fault."""
-        url = f"http://{HOST}:{self.proxies[name]}/"
-        post(url, {"mode": mode, "delay_s": delay_s})
-
-    def _store_port(self, name):
-        return self.start_proxy(f"store-{name}", self._ports["platform"])
-
-    def _worker_port(self, name):
-        return self.start_proxy(f"way-{name}", self._ports[name])
-
-    def _heartbeat_port(self, name, control_port):
-        return self.start_proxy(f"heartbeat-{name}", control_port)
-
-    def _announce(self, name, port):
-        if name in self._caller_ports:
-            return
-        alias = f"{HOST}:{self.start_proxy(f'link-{name}', port)}"
-        post(self.url_of("platform") + "/aliases", {f"{HOST}:{port}": alias})
-
-
-def _send(port, data):
-    """Send bytes to a process, which may be down or paused."""
-    with (
-        contextlib.suppress(OSError),
-        socket.create_connection((HOST, port), _CONNECT_TIMEOUT_S) as connection,
-    ):
-        connection.sendall(data)
-
-
 class Soak:
     """One run; `seed` determines its random choices."""
 
-    def __init__(self, seed, folder, workers=WORKERS, entries=ENTRIES, program=None):
+    def __init__(
+        self,
+        seed,
+        folder,
+        workers=WORKERS,
+        entries=ENTRIES,
+        program=None,
+        outages=True,
+    ):
         self._random = random.Random(seed)
-        # Malformed data and faults of workers must not change a seed's other choices.
+        # Malformed data, faults of workers and outages must not change a seed's other
+        # choices.
         self._malformed_random = random.Random(f"odd data {seed}")
         self._worker_random = random.Random(f"workers {seed}")
+        self._outage_random = random.Random(f"outages {seed}")
+        self._has_outages = outages
+        self._folder = folder
+        self._outages = None
+        self._callers = concurrent.futures.ThreadPoolExecutor()
+        self._planned_calls = []
+        self._asker = StateAsker(seed)
         self._cluster = SoakCluster(folder, program)
         self._workers = [f"worker-{number}" for number in range(workers)]
         self._entry_count = entries
@@ -186,6 +115,9 @@
         cluster = self._cluster
         try:
             self._start()
+            self._asker.start(cluster.caller_ports)
+            if self._has_outages:
+                self._start_outages(seconds)
             end_at = time.monotonic() + seconds
             next_job = next_fault = next_malformed_data = next_worker_fault = 0.0
             while time.monotonic() < end_at:
@@ -212,9 +144,20 @@
                 self._restart_exited()
                 time.sleep(0.05)
             self._run_due_repairs(float("inf"))
+            self._stop_outages()
             return self._find_violations()
         finally:
-            cluster.close()
+            try:
+                self._stop_outages()
+                self._asker.stop()
+            finally:
+                cluster.close()
+
+    def summary(self):
+        """Return how much was seen, as a text."""
+        answers = self._asker.answers
+        told = sum(1 for answer in answers if answer.state)
+        return f"{len(self._accepted)} jobs, {len(answers)} questions, {told} states"
 
     def _start(self):
         cluster = self._cluster
@@ -239,16 +182,32 @@
         document = {"spec": str(seconds), "steps": steps}
         entry = self._random.choice(self._cluster.entries)
         status = self._cluster.call(entry, "POST", f"/normal/{job_id}", document).status
-        if status == 200:
-            self._accepted[job_id] = sum(step["count"] for step in steps)
-        elif status == 503:
-            self._refused.add(job_id)
+        self._note_submitted(job_id, status)
         if self._accepted and self._random.random() < _CANCEL_PROBABILITY:
             victim = self._random.choice(list(self._accepted))
             status = self._cluster.call(entry, "DELETE", f"/normal/{victim}").status
             if status in _MAY_HAVE_CANCELLED:
                 self._cancelled.add(victim)
 
+    def _note_submitted(self, job_id, status):
+        if status == 200:
+            self._accepted[job_id] = clock()
+            self._asker.add_job(job_id)
+        elif status == 503:
+            self._refused.add(job_id)
+
+    def _submit_planned(self, step):
+        """Submit the job of a step at an entry, on a connection of its own."""
+
+        def submit():
+            job_id, document = step.arguments["id"], step.arguments["document"]
+            port = self._cluster.caller_ports[step.name]
+            connection = OpenConnection(port, CALL_TIMEOUT_S)
+            status = connection.call("POST", f"/normal/{job_id}", document).status
+            self._note_submitted(job_id, status)
+
+        self._planned_calls.append(self._callers.submit(submit))
+
     # Faults
 
     def _inject_fault(self):
@@ -272,14 +231,14 @@
         number = {"kill": signal.SIGKILL, "pause": signal.SIGSTOP}.get(
             choice, signal.SIGTERM
         )
-        self._cluster.signal(name, number)
+        self._cluster.hold(name, number)
 
         def repair():
             if choice == "pause":
                 self._cluster.signal(name, signal.SIGCONT)
             else:
                 self._cluster.wait(name)
-                self._cluster.start_again(name)
+            self._cluster.release(name)
             self._faulty_processes.discard(name)
 
         self._pending_repairs.append((time.monotonic() + duration_s, repair))
@@ -357,16 +316,52 @@
 
     def _restart_exited(self):
         """Restart processes that exited without a fault, as the platform does."""
-        for name, process in list(self._cluster.processes.items()):
-            is_role = name in self._cluster.entries or name.startswith("agent-")
-            if (
-                is_role
-                and name not in self._faulty_processes
-                and process.poll() is not None
-            ):
-                self.faults.append(("ended by itself", name, 0))
-                self._ended_by_themselves.append(name)
-                self._cluster.start_again(name)
+        for name in self._cluster.restart_exited():
+            self.faults.append(("ended by itself", name, 0))
+            self._ended_by_themselves.append(name)
+
+    def _start_outages(self, seconds):
+        cluster = self._cluster
+
+        def kill(step):
+            cluster.hold(step.name, signal.SIGKILL)
+            cluster.wait(step.name)
+
+        def crash(step):
+            cluster.disturb_worker(step.name, "restart", **step.arguments)
+
+        begin = {
+            soak_faults.JOB: self._submit_planned,
+            soak_faults.SILENCE: lambda _step: cluster.set_silent(True),
+            soak_faults.PROCESS: kill,
+            soak_faults.CRASH: crash,
+        }
+        end = {
+            soak_faults.SILENCE: lambda _step: cluster.set_silent(False),
+            soak_faults.PROCESS: lambda step: cluster.release(step.name),
+        }
+
+        def logging(take):
+            def take_and_log(step):
+                self.faults.append((clock(), *step))
+                take(step)
+
+            return take_and_log
+
+        steps = soak_faults.plan_outages(
+            self._outage_random, seconds, cluster.entries, self._workers, _STEP
+        )
+        self._outages = soak_faults.Outages(
+            steps, {kind: logging(take) for kind, take in begin.items()}, end
+        )
+        self._outages.start()
+
+    def _stop_outages(self):
+        if self._outages is not None:
+            self._outages.stop()
+        self._callers.shutdown()
+        for call in self._planned_calls:
+            call.result()
 
     def _run_due_repairs(self, now):
         due = [repair for at, repair in self._pending_repairs if at <= now]
@@ -397,14 +392,34 @@
                     f"{job_id} is {self._state(entry, job_id)!r} at the end"
                 )
         idle = self._find_idle_workers(entry)
-        history = [
-            (number, event)
-            for number, name in enumerate(self._workers)
-            for event in self._cluster.history(name)
-        ]
+        self._asker.stop()
         violations += [f"{name} ended by itself" for name in self._ended_by_themselves]
         violations += [f"{name} gets no start any more" for name in idle]
-        return violations + self._check(history)
+        record = self._record()
+        self._save(record)
+        return violations + soak_checks.find_violations(record, _ACCELERATORS)
+
+    def _record(self):
+        """Return what was seen from outside."""
+        events, recorded_ends = [], []
+        for name in self._workers:
+            events += [
+                soak_checks.Event(*event, name) for event in self._cluster.history(name)
+            ]
+            recorded_ends += [
+                soak_checks.RecordedEnd(*end)
+                for end in self._cluster.recorded_ends(name)
+            ]
+        return soak_checks.Record(
+            events, recorded_ends, self._accepted, self._refused, self._asker.answers
+        )
+
+    def _save(self, record):
+        """Leave what was seen, and the faults, beside the logs."""
+        seen = {**record._asdict(), "refused": list(record.refused)}
+        path = os.path.join(self._folder, "record.json")
+        with open(path, "w", encoding="utf-8") as file:
+            json.dump({**seen, "faults": self.faults}, file)
 
     def _find_idle_workers(self, entry):
         """Submit work for all workers; return those that get no start of it."""
@@ -436,28 +451,6 @@
             return ("cancelled", "completed")
         return ("completed",)
 
-    def _check(self, history):
-        """Return the violations found in the workers' starts and ends of runs."""
-        violations, running, used = [], {}, {}
-        for number, (at, kind, task, run, _how) in sorted(
-            history, key=lambda pair: (pair[1][0], pair[1][1] == "start")
-        ):
-            job_id = task.split(".")[0]
-            runs = running.setdefault(task, set())
-            if kind == "start":
-                if runs:
-                    violations.append(f"{task} run {run} at {at:.3f} beside {runs}")
-                if job_id in self._refused:
-                    violations.append(f"{task} runs though its job was refused")
-                runs.add((number, run))
-                used[number] = used.get(number, 0) + 1
-                if used[number] > _ACCELERATORS:
-                    violations.append(f"worker-{number} is overfull at {at:.3f}")
-            elif (number, run) in runs:
-                runs.discard((number, run))
-                used[number] -= 1
-        return violations
-
 
 def main(
     seed: int,
@@ -467,6 +460,7 @@
     workers: int = WORKERS,
     entries: int = ENTRIES,
     program: list[str] | None = None,
+    outages: bool = True,
 ):
     """Run one soak test and print its result; return the exit status.
 
@@ -476,14 +470,16 @@
     :param workers: the number of workers, each with an agent
     :param entries: the number of entries
     :param program: the command of another build
+    :param outages: whether the store is silent for all at times
     """
     # Exit by an exception, so that the cluster's processes are killed.
     signal.signal(signal.SIGTERM, lambda *_: sys.exit(1))
     folder = folder or tempfile.mkdtemp(prefix="soak-")
     os.makedirs(folder, exist_ok=True)
-    soak = Soak(seed, folder, workers, entries, program)
+    soak = Soak(seed, folder, workers, entries, program, outages)
     violations = soak.run(seconds)
     print(f"seed {seed}: {len(soak.faults)} faults, logs in {folder}")
+    print(f"  {soak.summary()}")
     for line in violations:
         print(f"  BROKEN {line}")
     return 1 if violations else 0
