Test world: a dead or frozen process hears no answers and no store it may not hear

A killed agent went on polling its worker, because the worker's answers did not go by the process's clock, and extended leases until its authority ran out; a frozen one did so all the while. A frozen process could not cancel a timer that had come due meanwhile (AlreadyCalled in platform/table.py, which a real reactor cannot cause). An agent that was restarted in a silence of the store registered before it was made silent.

Answers of workers now go by the process's clock, timers stay active until their function is called, and a restarted process keeps its faults of the store from the start.

--- a/tests/graph_world.py
+++ b/tests/graph_world.py
@@ -9,7 +9,7 @@
 
 import msgspec
 from graph_builders import make_facts
-from twisted.internet.defer import ensureDeferred
+from twisted.internet.defer import Deferred, ensureDeferred
 from twisted.internet.task import Clock
 from world import Network, NodeClock
 
@@ -93,15 +93,43 @@
 class Node:
     """A process with its clock, its faults of the store and its links."""
 
-    def __init__(self, name, clock):
+    def __init__(self, name, clock, faults=None):
         self.name = name
         self.clock = clock
-        self.faults = Faults()
+        self.faults = faults or Faults()
         self.operator_table = None
         self.process = None
         self.links = []
 
 
+class ProcessCalls:
+    """The calls of one process to its worker.
+
+    Answers reach the process by its clock: later if it is frozen, never if it is dead.
+    """
+
+    def __init__(self, clock, worker):
+        self._clock = clock
+        self._worker = worker
+
+    def start(self, *args):
+        """Start a run; see `ExecutorClient.start`."""
+        return self._deliver(self._worker.start(*args))
+
+    def stop(self, *args):
+        """Stop a run; see `ExecutorClient.stop`."""
+        return self._deliver(self._worker.stop(*args))
+
+    def poll(self, *args):
+        """List all runs; see `ExecutorClient.poll`."""
+        return self._deliver(self._worker.poll(*args))
+
+    def _deliver(self, answered):
+        delivered = Deferred()
+        answered.addCallback(lambda one: self._clock.run(delivered.callback, one))
+        return delivered
+
+
 class GraphWorld:
     """Entries, agents and workers of one cluster; see `make_graph_world`."""
 
@@ -125,10 +153,13 @@
 
     # Setup
 
-    def add_entry(self, name, silent=False):
-        """Start an entry; with `silent`, the store does not respond to it."""
-        node = self._add_node(name)
-        node.faults.silent = silent
+    def add_entry(self, name, silent=False, faults=None):
+        """Start an entry; with `silent`, the store does not respond to it.
+
+        `faults` are those of the store for this entry, by default none.
+        """
+        node = self._add_node(name, faults)
+        node.faults.silent = silent or node.faults.silent
         node.operator_table = self.operator_table.view(node.clock, node.faults)
         address = self.address_of(name)
         node.process = GraphEntry(
@@ -177,16 +208,19 @@
         self.add_agent(name, known_as)
         self.send_heartbeats(name, 0)
 
-    def add_agent(self, name, known_as=None):
-        """Start an agent beside a worker, by default known by the worker's name."""
+    def add_agent(self, name, known_as=None, faults=None):
+        """Start an agent beside a worker, by default known by the worker's name.
+
+        `faults` are those of the store for this agent, by default none.
+        """
         known_as = known_as or name
-        node = self._add_node(name)
+        node = self._add_node(name, faults)
         worker = self.workers[name]
         record = work.WorkerRecord(self.address_of(name), worker.facts.zone)
         node.process = GraphAgent(
             node.clock,
             known_as,
-            worker,
+            ProcessCalls(node.clock, worker),
             self.table.view(node.clock, node.faults),
             Rows(
                 work.worker_key(known_as),
@@ -208,8 +242,8 @@
         number = len(self._addresses) + 1
         return self._addresses.setdefault(name, f"10.0.0.{number}:7000")
 
-    def _add_node(self, name):
-        node = self.nodes[name] = Node(name, NodeClock(self.clock))
+    def _add_node(self, name, faults=None):
+        node = self.nodes[name] = Node(name, NodeClock(self.clock), faults)
         return node
 
     def send_heartbeats(self, name, sequence):
@@ -315,11 +349,15 @@
 
     def kill(self, name):
         """End a process without a clean shutdown."""
+        self.nodes[name].clock.kill()
+        # The kernel closes the sockets of a killed process.
+        self.close_links_of(name)
+
+    def close_links_of(self, name):
+        """Close the links of a process that has ended, as its kernel does."""
         node = self.nodes[name]
-        node.clock.kill()
         for one in self.nodes.values():
             for link in getattr(one, "links", ()):
-                # The kernel closes the sockets of a killed process.
                 if one is node:
                     link.close()
                 elif link.peer_name == name:
@@ -327,12 +365,11 @@
 
     def restart(self, name):
         """Start a killed entry or agent again; it hears the store as before."""
-        silent = self.nodes[name].faults.silent
+        faults = self.nodes[name].faults
         if name in self.workers:
-            self.add_agent(name)
-            self.nodes[name].faults.silent = silent
+            self.add_agent(name, faults=faults)
         else:
-            self.add_entry(name, silent)
+            self.add_entry(name, faults=faults)
 
     def lose_worker(self, name):
         """Let a worker crash, and answer nobody until `return_worker`."""
--- a/tests/world.py
+++ b/tests/world.py
@@ -10,7 +10,7 @@
 from typing import NamedTuple
 
 from twisted.internet.defer import Deferred, ensureDeferred, fail, succeed
-from twisted.internet.error import ConnectionRefusedError
+from twisted.internet.error import AlreadyCalled, ConnectionRefusedError
 from twisted.internet.task import Clock, LoopingCall
 
 from samphiredeal.agent.members import MemberManager
@@ -31,6 +31,45 @@
 POLL_S = 0.5
 
 
+class _NodeTimer:
+    """A delayed call of a node; it stays active while it waits for the node's thaw."""
+
+    def __init__(self, node_clock, function, args, kwargs):
+        self._node_clock = node_clock
+        self._call = lambda: function(*args, **kwargs)
+        self._is_active = True
+        self.shared_call = None
+
+    def fire(self):
+        """Call the function by the node's clock, unless it is cancelled before."""
+        self._node_clock.run(self._call_if_active)
+
+    def active(self):
+        """Return whether the function is still to be called."""
+        return self._is_active
+
+    def cancel(self):
+        """Cancel the call; fail if the function has been called."""
+        if not self._is_active:
+            raise AlreadyCalled
+        self._is_active = False
+        if self.shared_call.active():
+            self.shared_call.cancel()
+
+    def getTime(self):
+        """Return when the call is due, in seconds of the clock."""
+        return self.shared_call.getTime()
+
+    def reset(self, seconds):
+        """Let the call be due in `seconds`."""
+        self.shared_call.reset(seconds)
+
+    def _call_if_active(self):
+        if self._is_active:
+            self._is_active = False
+            self._call()
+
+
 class NodeClock:
     """A node's clock, which defers calls while frozen and drops them once dead."""
 
@@ -52,7 +91,9 @@
         return self._shared.seconds()
 
     def callLater(self, delay, function, *args, **kwargs):
-        return self._shared.callLater(delay, self.run, function, *args, **kwargs)
+        timer = _NodeTimer(self, function, args, kwargs)
+        timer.shared_call = self._shared.callLater(delay, timer.fire)
+        return timer
 
     def run(self, function, *args, **kwargs):
         """Call the function now, on thaw if frozen, or never if dead."""
