Test world: a member of a gang is not done without one that crashed

A crashed worker took its members off without a word to the others of the gang, which then ended as done; real members are done together, and the scheduler takes one that is done for all. The others end as broken now. The log keeps when an agent was first told of an end.

--- a/tests/graph_world.py
+++ b/tests/graph_world.py
@@ -16,7 +16,7 @@
 from samphiredeal.agent.graphs.node import GraphAgent, Rows
 from samphiredeal.entry.graphs import work
 from samphiredeal.entry.graphs.node import GraphEntry
-from samphiredeal.model import answers
+from samphiredeal.model import answers, runs
 from samphiredeal.model.answers import Call
 from samphiredeal.model.graph import parse_task_name
 from samphiredeal.model.shape import Shape
@@ -53,6 +53,8 @@
         self.events = []
         # The ends that agents have confirmed to their workers.
         self.recorded = []
+        # When an agent was first told of an end, by (task, run).
+        self.heard_at = {}
 
     def record(self, name, kind, task, run, how):
         """Record an event on the worker `name`, whose id may have changed."""
@@ -108,9 +110,10 @@
     Answers reach the process by its clock: later if it is frozen, never if it is dead.
     """
 
-    def __init__(self, clock, worker):
+    def __init__(self, clock, worker, event_log):
         self._clock = clock
         self._worker = worker
+        self._event_log = event_log
 
     def start(self, *args):
         """Start a run; see `ExecutorClient.start`."""
@@ -122,7 +125,13 @@
 
     def poll(self, *args):
         """List all runs; see `ExecutorClient.poll`."""
-        return self._deliver(self._worker.poll(*args))
+        return self._deliver(self._worker.poll(*args)).addCallback(self._hear)
+
+    def _hear(self, answer):
+        for end in getattr(answer, "ended", ()):
+            now = self._clock.seconds()
+            self._event_log.heard_at.setdefault((end.task, end.run), now)
+        return answer
 
     def _deliver(self, answered):
         delivered = Deferred()
@@ -220,7 +229,7 @@
         node.process = GraphAgent(
             node.clock,
             known_as,
-            ProcessCalls(node.clock, worker),
+            ProcessCalls(node.clock, worker, self.event_log),
             self.table.view(node.clock, node.faults),
             Rows(
                 work.worker_key(known_as),
@@ -372,8 +381,19 @@
             self.add_entry(name, faults=faults)
 
     def lose_worker(self, name):
-        """Let a worker crash, and answer nobody until `return_worker`."""
+        """Let a worker crash, and answer nobody until `return_worker`.
+
+        The other members of its gangs end as broken: none is done without it.
+        """
+        lost = [
+            member
+            for members in self.gangs.present.values()
+            for member in members
+            if member.worker is self.workers[name] and not member.ended
+        ]
         self.workers[name].crash()
+        for member in lost:
+            self.gangs.end_others(member, runs.GANG_BROKEN)
         self.workers[name].faults.down = True
 
     def return_worker(self, name):
