--- a/packages/standins/src/samphiredeal/standins/launch.py
+++ b/packages/standins/src/samphiredeal/standins/launch.py
@@ -85,9 +85,13 @@
         """Return the HTTP address of a stand-in or an entry."""
         return f"http://{HOST}:{self._ports[name]}"
 
+    def new_port(self):
+        """Return a port that is free now."""
+        return free_port()
+
     def start_standin(self, kind, name, **options):
         """Start a stand-in and wait until it listens."""
-        port = free_port()
+        port = self.new_port()
         self._ports[name] = port
         document = {"host": HOST, "port": port, "name": name, **options}
         code = "import sys; from samphiredeal.standins.main import main; main()"
--- a/packages/standins/src/samphiredeal/standins/soak.py
+++ b/packages/standins/src/samphiredeal/standins/soak.py
@@ -393,7 +393,8 @@
                 )
         idle = self._find_idle_workers(entry)
         self._asker.stop()
-        violations += [f"{name} ended by itself" for name in self._ended_by_themselves]
+        exited = [*self._ended_by_themselves, *self._cluster.exited_standins()]
+        violations += [f"{name} ended by itself" for name in exited]
         violations += [f"{name} gets no start any more" for name in idle]
         record = self._record()
         self._save(record)
--- a/packages/standins/src/samphiredeal/standins/soak_cluster.py
+++ b/packages/standins/src/samphiredeal/standins/soak_cluster.py
@@ -68,13 +68,21 @@
                 self._ended_by_faults.discard(name)
                 self.start_again(name)
 
+    def exited_standins(self):
+        """Return the names of the stand-ins that have exited, which no fault ends."""
+        return [
+            name
+            for name, process in list(self.processes.items())
+            if not self._is_role(name) and process.poll() is not None
+        ]
+
     def restart_exited(self):
-        """Start processes again that exited without a fault; return their names."""
+        """Start roles again that exited without a fault; return their names."""
         with self._lock:
             exited = [
                 name
                 for name, process in list(self.processes.items())
-                if (name in self.entries or name.startswith("agent-"))
+                if self._is_role(name)
                 and not self._holds[name]
                 and process.poll() is not None
             ]
@@ -82,6 +90,9 @@
                 self.start_again(name)
         return exited
 
+    def _is_role(self, name):
+        return name in self.entries or name.startswith("agent-")
+
     def put_row(self, key, value):
         """Write a row into the system's table, without an answer, as another writer."""
         location = {"table": "samphiredeal", "part": "", "key": key}
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -188,3 +188,8 @@
     cluster.signal("entry-0", signal.SIGKILL)
     cluster.wait("entry-0")
     assert cluster.restart_exited() == ["entry-0"]
+    assert cluster.exited_standins() == []
+    cluster.signal("way-worker-0", signal.SIGKILL)
+    cluster.wait("way-worker-0")
+    assert cluster.restart_exited() == []
+    assert cluster.exited_standins() == ["way-worker-0"]
