--- a/packages/standins/src/samphiredeal/standins/graph_cluster.py
+++ b/packages/standins/src/samphiredeal/standins/graph_cluster.py
@@ -16,7 +16,6 @@
     HOST,
     STARTUP_TIMEOUT_S,
     LocalCluster,
-    free_port,
     free_port_pair,
     wait_for,
 )
@@ -164,10 +163,6 @@
                     newest = max(newest, (json.loads(line)["epoch"], entry))
         return newest[1]
 
-    def new_port(self):
-        """Return a free port that no cluster of this process uses yet."""
-        return free_port()
-
     def _store_port(self, _name):
         """Return the port at which a process reaches the store."""
         return self._ports["platform"]
--- a/packages/standins/src/samphiredeal/standins/launch.py
+++ b/packages/standins/src/samphiredeal/standins/launch.py
@@ -116,6 +116,10 @@
         """Return the HTTP address of a stand-in or an entry."""
         return f"http://{HOST}:{self._ports[name]}"
 
+    def new_port(self):
+        """Return a free port that no cluster of this process uses yet."""
+        return free_port()
+
     def start_standin(self, kind, name, **options):
         """Start a stand-in and wait until it listens."""
         self.begin_standin(kind, name, **options)
@@ -124,7 +128,7 @@
 
     def begin_standin(self, kind, name, **options):
         """Start a stand-in that listens some time later."""
-        port = free_port()
+        port = self.new_port()
         self._ports[name] = port
         document = {"host": HOST, "port": port, "name": name, **options}
         code = "import sys; from samphiredeal.standins.main import main; main()"
