--- a/packages/entry/src/samphiredeal/entry/graphs/call_handler.py
+++ b/packages/entry/src/samphiredeal/entry/graphs/call_handler.py
@@ -81,7 +81,7 @@
         self._write_resolver = WriteResolver(clock, table, store_health)
         self._in_doubt = InDoubtCalls(clock)
         self._first_tries = FirstTries(clock)
-        self._relayed_states = RelayedStates()
+        self._relayed_states = RelayedStates(clock)
         self._config_max_age_s = config_max_age_s
         self._relay = relay
         self._in_flight = 0
