--- a/packages/standins/src/samphiredeal/standins/demo.py
+++ b/packages/standins/src/samphiredeal/standins/demo.py
@@ -6,6 +6,7 @@
 """
 
 import os
+import shutil
 import sys
 import tempfile
 import time
@@ -166,17 +167,18 @@
     """Run all steps; return the exit status."""
     # The program that runs the roles, such as the binary.
     program = os.environ.get("SAMPHIREDEAL_PROGRAM")
-    with tempfile.TemporaryDirectory() as folder:
-        cluster = LocalCluster(folder, program and [program])
-        try:
-            url = start_cluster(cluster)
-            for name, step in STEPS:
-                print(f"{name:8} {step(cluster, url)}", flush=True)
-        except (AssertionError, TimeoutError) as error:
-            print(f"FAILED   {error}", file=sys.stderr)
-            return 1
-        finally:
-            cluster.close()
+    folder = tempfile.mkdtemp(prefix="demo-")
+    cluster = LocalCluster(folder, program and [program])
+    try:
+        url = start_cluster(cluster)
+        for name, step in STEPS:
+            print(f"{name:8} {step(cluster, url)}", flush=True)
+    except (AssertionError, TimeoutError) as error:
+        print(f"FAILED   {error}, logs in {folder}", file=sys.stderr)
+        return 1
+    finally:
+        cluster.close()
+    shutil.rmtree(folder)
     print("demo     all steps passed")
     return 0
 
