--- a/tests/graph_world.py
+++ b/tests/graph_world.py
@@ -62,7 +62,7 @@
         lists = {"recorded": self.recorded, "lapsed": self.lapses}
         lists.get(kind, self.events).append(event)
 
-    def taken_note_of(self):
+    def recorded_in_time(self):
         """Return the ends that were recorded before the lease of their worker expired.
 
         By the platform's rules only these may be relied on.
--- a/tests/outside_view.py
+++ b/tests/outside_view.py
@@ -170,7 +170,7 @@
         log = self._world.event_log
         lines = told_states.starts_after_completed(self.told, log.starts())
         for start in log.starts():
-            for end in log.taken_note_of():
+            for end in log.recorded_in_time():
                 is_same = (end.task, end.how) == (start.task, runs.DONE)
                 if is_same and end.run < start.run:
                     lines.append(
--- a/tests/test_told_outside.py
+++ b/tests/test_told_outside.py
@@ -506,10 +506,10 @@
     assert len(world.event_log.starts(TASK)) == 1
 
 
-# Guards against a start beyond the attempts of a task, by ends that were taken note of.
+# Guards against a start beyond the attempts of a task, by the ends that were recorded.
 # Here the first end `failed` is listed only after the lease of its worker has expired
-# and the run was given up: by the platform's rules it has not been taken note of.
-def test_task_starts_no_more_after_its_attempts_were_taken_note_of():
+# and the run was given up: by the platform's rules it does not count.
+def test_task_starts_no_more_after_its_attempts_were_recorded():
     world, first, _second = make_world()
     world.work_of[TASK] = Work(1.0, runs.FAILED)
     assert submit(world, first).kind == answers.ACCEPTED
@@ -523,10 +523,10 @@
     log = world.event_log
     acknowledged = [end for end in log.recorded if end.how == runs.FAILED]
     assert len(acknowledged) >= 2
-    noted = {end.run for end in log.taken_note_of() if end.how == runs.FAILED}
+    counted = {end.run for end in log.recorded_in_time() if end.how == runs.FAILED}
     for start in log.starts(TASK):
         ended = [e for e in log.events if e.kind == "end" and e.at <= start.at]
-        assert len(noted & {e.run for e in ended if e.how == runs.FAILED}) < 2
+        assert len(counted & {e.run for e in ended if e.how == runs.FAILED}) < 2
     assert world.state(first, "a1") == "failed"
 
 
