--- /dev/null
+++ b/review/rig/case.py
@@ -0,0 +1,39 @@
+"""Runs one case: ``case.main(__file__, play)``.
+
+`play(deployment, trouble)` is a coroutine function that returns a list of texts, one
+for each way in which the rule was broken.
+"""
+
+import asyncio
+import os
+import pathlib
+import sys
+import traceback
+
+from .deployment import Deployment
+
+
+def main(path, play, **options):
+    """Play the case; exit with 1 if the rule was broken, 0 if it held, else 2."""
+    trouble = os.environ.get("TROUBLE", "1") != "0"
+    record = pathlib.Path(path).resolve().parent / "record.txt"
+    sys.exit(asyncio.run(_run(record, play, trouble, options)))
+
+
+async def _run(record, play, trouble, options):
+    deployment = Deployment(**options)
+    lines = [f"TROUBLE={int(trouble)}"]
+    try:
+        async with asyncio.timeout(110):
+            await deployment.start()
+            broken = await play(deployment, trouble)
+        lines += [f"BROKEN: {one}" for one in broken] or ["the rule held"]
+        status = 1 if broken else 0
+    except Exception:
+        lines.append("the case could not run: " + traceback.format_exc())
+        status = 2
+    finally:
+        deployment.write_record(record, lines)
+        await deployment.close()
+    print("\n".join(lines[1:]))
+    return status
