--- a/review/rig/deployment.py
+++ b/review/rig/deployment.py
@@ -263,12 +263,10 @@
     def scheduler(self):
         """Return the name of the entry that holds the newest epoch, or None."""
         value = self.store.row("samphiredeal", "epoch")
-        return json.loads(base64.b64decode(value))["holder"] if value else None
-
-    def epoch(self):
-        """Return the value of the epoch row, or None."""
-        value = self.store.row("samphiredeal", "epoch")
-        return json.loads(base64.b64decode(value)) if value else None
+        if value is None:
+            return None
+        _number, holder, _nonce = json.loads(base64.b64decode(value))
+        return holder
 
     # Operator
 
