Review: a job in doubt runs after its cancel was answered

A hand-in whose write is applied late is answered 504, its cancel 410; then the job runs. The store of the rig can apply a write late, and a case that is stopped ends its processes.

--- a/review/rig/case.py
+++ b/review/rig/case.py
@@ -7,6 +7,7 @@
 import asyncio
 import os
 import pathlib
+import signal
 import sys
 import traceback
 
@@ -21,6 +22,9 @@
 
 
 async def _run(record, play, trouble, options):
+    # If the script is stopped, its processes are ended all the same.
+    stop = asyncio.current_task().cancel
+    asyncio.get_running_loop().add_signal_handler(signal.SIGTERM, stop)
     deployment = Deployment(**options)
     lines = [f"TROUBLE={int(trouble)}"]
     try:
@@ -29,7 +33,7 @@
             broken = await play(deployment, trouble)
         lines += [f"BROKEN: {one}" for one in broken] or ["the rule held"]
         status = 1 if broken else 0
-    except Exception:
+    except (Exception, asyncio.CancelledError):
         lines.append("the case could not run: " + traceback.format_exc())
         status = 2
     finally:
--- a/review/rig/store.py
+++ b/review/rig/store.py
@@ -29,7 +29,11 @@
         self._changed = asyncio.Event()
         self._locks = {}
         self._servers = []
+        self._late = set()
         self.on_commit = lambda machine, puts: None
+        # `late_s(machine, puts)` returns how much later a transaction is applied, which
+        # is then not answered; None for one that is applied at once.
+        self.late_s = lambda machine, puts: None
         # Machines that get no answer at present, and whose calls have no effect.
         self.silent_to = set()
         self.is_silent = False
@@ -79,6 +83,10 @@
             return self.refused[machine], {}
         call = request.path.removeprefix("/api/")
         if call == "rows-tx":
+            late_s = self.late_s(machine, request.document["puts"])
+            if late_s is not None:
+                self._transact_later(machine, request.document, late_s)
+                return web.NO_ANSWER
             answer = await self._transact(machine, request.document)
             if machine in self.loses_answers_of:
                 return web.NO_ANSWER
@@ -93,6 +101,17 @@
             return web.NO_ANSWER
         return answer
 
+    def _transact_later(self, machine, document, seconds):
+        async def transact():
+            await asyncio.sleep(seconds)
+            status, _answer = await self._transact(machine, document)
+            keys = [put["key"] for put in document["puts"]]
+            self._record("late-write", machine=machine, keys=keys, status=status)
+
+        task = asyncio.create_task(transact())
+        self._late.add(task)
+        task.add_done_callback(self._late.discard)
+
     async def _transact(self, machine, document):
         entries = document["expected"] + document["puts"] + document["remove"]
         part = entries[0]["part"] if entries else ""
