--- a/review/rig/web.py
+++ b/review/rig/web.py
@@ -105,6 +105,9 @@
                 await writer.drain()
         except (asyncio.IncompleteReadError, ConnectionError, ValueError):
             pass
+        except asyncio.CancelledError:
+            # At the end of the script; asyncio logs each task that is cancelled.
+            pass
         finally:
             self._writers.discard(writer)
             with contextlib.suppress(Exception):
