--- a/review/10/case.py
+++ b/review/10/case.py
@@ -3,6 +3,7 @@
 import asyncio
 import base64
 import json
+import os
 import signal
 
 from rig import case
@@ -72,4 +73,5 @@
 
 
 if __name__ == "__main__":
-    case.main(__file__, play, executors=11)
+    is_disturbed = os.environ.get("TROUBLE", "1") != "0"
+    case.main(__file__, play, is_disturbed, executors=11)
--- a/review/6/case.py
+++ b/review/6/case.py
@@ -1,6 +1,7 @@
 """A gang of three tasks starts on one executor that fails all that it starts."""
 
 import asyncio
+import os
 
 from rig import case
 from rig.deployment import job_id
@@ -50,4 +51,5 @@
 
 
 if __name__ == "__main__":
-    case.main(__file__, play, executors=11)
+    is_disturbed = os.environ.get("TROUBLE", "1") != "0"
+    case.main(__file__, play, is_disturbed, executors=11)
--- a/review/9/case.py
+++ b/review/9/case.py
@@ -1,6 +1,7 @@
 """A hand-in is in doubt; its cancel is answered "no such job"; then the job runs."""
 
 import asyncio
+import os
 
 from rig import case
 from rig.deployment import BOUNDS, job_id
@@ -8,8 +9,9 @@
 STEP = {"count": 1, "cpu": 4000, "mem-mb": 8000, "gpu": 1, "estimated-ms": 4000}
 # Writes in the disruption are done this much later, and not answered.
 LATE_S = 6.0
-# The share of the writes meanwhile that may be done late.
+# The share of the writes meanwhile that may be done late, and for how long.
 MAX_SHARE = 0.35
+MAX_LENGTH_S = 4.5
 
 
 async def play(deployment, trouble):
@@ -25,13 +27,17 @@
         writes.append(is_late)
         return LATE_S if is_late else None
 
+    began_at = deployment.now()
     if trouble:
         deployment.store.late_s = late_s
     # Some heartbeats of the scheduler, which the disruption spares.
-    await asyncio.sleep(2)
+    await asyncio.sleep(2.5)
     handed_in = await deployment.call("entry-0", "POST", f"/normal/{job}", document)
     deployment.store.late_s = lambda _machine, _puts: None
+    length_s = deployment.now() - began_at
     deployment.record("store-sound", writes=len(writes), late=sum(writes))
+    if trouble and length_s > MAX_LENGTH_S:
+        raise RuntimeError(f"the disruption took {length_s:.1f} s")
     if trouble and sum(writes) > MAX_SHARE * len(writes):
         raise RuntimeError(f"too many late writes: {sum(writes)} of {len(writes)}")
     if trouble and handed_in.status != 504:
@@ -51,4 +57,5 @@
 
 
 if __name__ == "__main__":
-    case.main(__file__, play, executors=11)
+    is_disturbed = os.environ.get("TROUBLE", "1") != "0"
+    case.main(__file__, play, is_disturbed, executors=11)
