Count a gang's failed run once, however many members fail

Cause: every member's end `failed` added one to the failures of the unit. The in-memory worker ends the other members as `broken`, so no test had two.

The unit now has the number of the last run that was charged. Run numbers rise and the next run starts only after all members are gone, so an end of a run that was charged before is recognized whenever it is reported in this term. The line `attempt_failed` tells each attempt that a job is charged.

--- a/packages/policy/src/samphiredeal/policy/graphs/reports.py
+++ b/packages/policy/src/samphiredeal/policy/graphs/reports.py
@@ -243,6 +243,7 @@
         started_at = placement.running_since if is_current else None
         ran_s = now - started_at if started_at is not None else 0.0
         _fail_unit(unit, worker, ran_s, now)
+        _count_failed_run(unit, ended.run, now, log_entries)
     else:
         _stop_remaining(unit, ended.how)
     unit.job.close_finished(now, unit.occurrence)
@@ -268,10 +269,26 @@
     health.record_failure(worker, unit, ran_s, now)
     unit.failed_on = [*unit.failed_on[-_FAILED_WORKERS_KEPT:], worker.name]
     _stop_remaining(unit, "a member of its gang failed")
-    if unit.spec.lasting or unit.done:
+
+
+def _count_failed_run(unit, run, now, log_entries):
+    """Charge an attempt for a failed run, once for all members that fail in it.
+
+    Run numbers rise, and a run starts after all members of the one before are gone.
+    """
+    if unit.spec.lasting or unit.done or run <= unit.failed_run:
         return
+    unit.failed_run = run
     unit.failures += 1
     job = unit.job
+    fields = {
+        "job": job.id,
+        "unit": unit.key,
+        "run": run,
+        "failures": unit.failures,
+        "max_attempts": job.record.max_attempts,
+    }
+    log_entries.append(("attempt_failed", fields))
     if unit.failures >= job.record.max_attempts and job.active:
         reason = f"task {unit.key} has failed {unit.failures} times"
         job.end(FAILED, reason, now)
--- a/packages/policy/src/samphiredeal/policy/graphs/state.py
+++ b/packages/policy/src/samphiredeal/policy/graphs/state.py
@@ -134,6 +134,7 @@
         "done",
         "done_at",
         "failed_on",
+        "failed_run",
         "failures",
         "forecast",
         "has_displaced",
@@ -156,7 +157,9 @@
         self.spec = job.record.spec.steps[step]
         self.indexes = indexes
         self.run = 0
+        # The number of runs that have failed, and the last of them.
         self.failures = 0
+        self.failed_run = 0
         self.checkpoint = ""
         self.stored_checkpoint = ""
         self.done = False
