Store a cancel also of a job that is not there yet

Cause: the 410 was read off the store. Nothing was written, so a submission that was still pending at the store took effect later. Only the entry that had sent it knew of it, and that one answered 504 and did not cancel either.

A cancel is now stored first, and the job is looked for after that. Whichever entry sent the submission, and whenever it is applied or repeated, it finds the cancel, as the scheduler starts nothing of a job with one. 410 still says that there is no such job. The scheduler deletes cancels that no job has come for, on the condition that none has come meanwhile.

test_job_in_doubt_is_not_said_to_be_unknown expected that a job completes after its cancel was answered "unsettled", as the cancel was never written; it now has to take effect, and nothing may start.

--- a/packages/entry/src/samphiredeal/entry/graphs/call_handler.py
+++ b/packages/entry/src/samphiredeal/entry/graphs/call_handler.py
@@ -273,18 +273,22 @@
         return self._store_refusal(answer)
 
     async def _cancel(self, call, job_id):
+        """Store the cancel, and then look for the job.
+
+        The cancel also holds for a submission that the store applies later, which this
+        entry may not know of.
+        """
+        if job_id not in self._view.cancels:
+            key = work.cancel_key(job_id)
+            answer = await self._write_resolver.write(
+                call, [Condition(key, 0)], [Put(key, b"{}")]
+            )
+            if not isinstance(answer, Committed | Conflict):
+                return self._store_refusal(answer)
         accepted = await self._check_accepted(job_id)
-        if accepted is not True:
+        if accepted is not True and accepted.kind == answers.NO_JOB:
             return accepted
-        if job_id in self._view.cancels:
-            return JobAnswer(answers.CANCELLED)
-        key = work.cancel_key(job_id)
-        answer = await self._write_resolver.write(
-            call, [Condition(key, 0)], [Put(key, b"{}")]
-        )
-        if isinstance(answer, Committed | Conflict):
-            return JobAnswer(answers.CANCELLED)
-        return self._store_refusal(answer)
+        return JobAnswer(answers.CANCELLED)
 
     async def _report_state(self, call, job_id):
         accepted = await self._check_accepted(job_id)
--- a/packages/entry/src/samphiredeal/entry/graphs/dispatcher.py
+++ b/packages/entry/src/samphiredeal/entry/graphs/dispatcher.py
@@ -15,6 +15,7 @@
 from samphiredeal.entry.graphs.sessions import Sessions
 from samphiredeal.platform.table import (
     Committed,
+    Condition,
     Conflict,
     Put,
     Unavailable,
@@ -29,6 +30,8 @@
 _TICK_INTERVAL_S = 0.2
 _STORE_RETRY_DELAY_S = 0.15
 _DELETE_INTERVAL_S = 2.0
+# With two conditions each, below the limit of a transaction's operations.
+_MAX_CANCELS_PER_WRITE = 30
 # Time allowed for a query to the advice service beyond its declared decision time.
 _ADVICE_TIMEOUT_MARGIN_S = 1.0
 _ADVICE_RETRY_DELAY_S = 0.5
@@ -80,6 +83,8 @@
         self._last_checkpoint_at = self._clock.seconds()
         self._querying_advice = False
         self._delete_at = self._clock.seconds() + _DELETE_INTERVAL_S
+        # Since when there has been a cancel without a job, by job id.
+        self._cancel_alone_since = {}
         self._stopped = False
         self._timer = None
 
@@ -167,7 +172,7 @@
             return
         self._timer = self._clock.callLater(_TICK_INTERVAL_S, self._tick)
         self._sessions.tick()
-        self._delete_old_jobs()
+        self._delete_old_rows()
         self.schedule_round()
 
     def _run_round(self):
@@ -426,15 +431,20 @@
         for job_id, stored in self._view.progress.items():
             self._progress_store.raise_version(job_id, stored.version)
 
-    def _delete_old_jobs(self):
-        """Delete the rows of jobs that ended long enough ago.
-
-        `view_changed` removes the jobs once the deletions are seen.
-        """
+    def _delete_old_rows(self):
+        """Delete the rows that have been of no use for long enough."""
         now = self._clock.seconds()
         if now < self._delete_at:
             return
         self._delete_at = now + _DELETE_INTERVAL_S
+        self._delete_old_jobs(now)
+        self._delete_old_cancels(now)
+
+    def _delete_old_jobs(self, now):
+        """Delete the rows of jobs that ended long enough ago.
+
+        `view_changed` removes the jobs once the deletions are seen.
+        """
         old = [
             job.id
             for job in self._scheduler.jobs.values()
@@ -443,9 +453,37 @@
             and not job.has_placements
             and not job.dirty
         ]
-        keys = self._progress_store.keys_to_delete(old)
+        self._delete([], self._progress_store.keys_to_delete(old))
+
+    def _delete_old_cancels(self, now):
+        """Delete the cancels of jobs that were not submitted in the time kept.
+
+        The conditions keep a cancel if its job is submitted meanwhile.
+        """
+        since = self._cancel_alone_since
+        cancels, jobs = self._view.cancels, self._view.jobs
+        alone = {
+            job_id: since.get(job_id, now) for job_id in cancels if job_id not in jobs
+        }
+        self._cancel_alone_since = alone
+        old = [
+            job_id
+            for job_id, since_s in alone.items()
+            if now - since_s > self._host.state_kept_s
+        ][:_MAX_CANCELS_PER_WRITE]
+        conditions = []
+        for job_id in old:
+            conditions += [
+                Condition(work.job_key(job_id), 0),
+                Condition(work.cancel_key(job_id), cancels[job_id].version),
+            ]
+        self._delete(conditions, [work.cancel_key(job_id) for job_id in old])
+
+    def _delete(self, conditions, keys):
+        """Delete rows, if any, under this scheduler's epoch."""
         if keys:
-            deleted = self._table.write([self._leadership.condition], [], keys)
+            conditions = [self._leadership.condition, *conditions]
+            deleted = self._table.write(conditions, [], keys)
             deleted.addErrback(_log_failed_deletion)
 
 
--- a/packages/entry/src/samphiredeal/entry/graphs/in_doubt.py
+++ b/packages/entry/src/samphiredeal/entry/graphs/in_doubt.py
@@ -21,13 +21,16 @@
     def correct(self, call, answer):
         """Return the answer to a call, given the result `answer` of this try of it.
 
-        "not-done" becomes "unsettled" while an earlier try is in doubt, and so does "no
-        such job" while a submission is. Other refusals say nothing of earlier tries.
+        "not-done" becomes "unsettled" while an earlier try is in doubt. While a
+        submission is, "no such job" becomes "cancelled" for a cancel, which is stored,
+        else "unsettled". Other refusals say nothing of earlier tries.
         """
         self._drop_expired()
         key = (call.verb, call.host, call.path)
         is_unknown = answer.kind == answers.NO_JOB
         if is_unknown and self._is_submission_in_doubt(call):
+            if call.verb == answers.CANCEL:
+                return answer._replace(kind=answers.CANCELLED, reason="")
             reason = "a submission of this job may still take effect"
             return answer._replace(kind=answers.UNSETTLED, reason=reason)
         if call.verb == answers.GET_STATE:
