Look at zones and workers again before a stored start is sent

Cause: starts were sent for every stored placement that no report lists, whatever had changed since the decision; only the choice of places looked at the zones. Starts were also sent before the first plan of a term, and by zones of any age while the operator's rows were not heard.

A plan now withdraws starts that are not sent yet, or were lost and are due to be sent again, if their zone is out or their worker leaves, with their whole gang. They are stopped, since an earlier scheduler may have sent them, and placed anew. Work that runs, and starts on their way, go on.

--- a/packages/entry/src/samphiredeal/entry/graphs/dispatcher.py
+++ b/packages/entry/src/samphiredeal/entry/graphs/dispatcher.py
@@ -183,14 +183,16 @@
             now - self._started_at >= _REPORT_WAIT_S or self._sessions.all_reported
         )
         is_operations_fresh = self._host.operations_age_s() < _OPERATIONS_MAX_AGE_S
-        if reports_received and is_operations_fresh:
+        # A plan also withdraws starts that were decided before and may not be sent now.
+        may_start = reports_received and is_operations_fresh
+        if may_start:
             self._scheduler.plan(now, self._host.wall_ms())
         for note in self._scheduler.take_log_entries():
             log_message(
                 message_type=note.event, epoch=self._leadership.epoch, **note.fields
             )
         self._commit()
-        self._sessions.send_orders()
+        self._sessions.send_orders(may_start)
         self._request_advice()
 
     # Advice
--- a/packages/entry/src/samphiredeal/entry/graphs/sessions.py
+++ b/packages/entry/src/samphiredeal/entry/graphs/sessions.py
@@ -162,8 +162,11 @@
             if session is not None and session.incarnation == incarnation:
                 session.completions_recorded = max(session.completions_recorded, number)
 
-    def send_orders(self):
-        """Send orders that are due to every agent that has reported recently."""
+    def send_orders(self, may_start):
+        """Send orders that are due to every agent that has reported recently.
+
+        Starts are sent only with `may_start`.
+        """
         if not self._leadership.may_extend_leases:
             return
         now = self._clock.seconds()
@@ -176,12 +179,14 @@
                 # expired. The row is being deleted.
                 continue
             if now - last_report_at < UNRESPONSIVE_AFTER_S:
-                self._send(session, now)
+                self._send(session, now, may_start)
 
-    def _send(self, session, now):
+    def _send(self, session, now, may_start):
         starts, stops = (), ()
         if session.is_place_stored:
-            starts, stops = self._dispatcher.scheduler.orders_for(session.name, now)
+            starts, stops = self._dispatcher.scheduler.orders_for(
+                session.name, now, may_start
+            )
         is_due = now - session.orders_sent_at >= _ORDERS_INTERVAL_S
         completions = session.completions_recorded
         if not (starts or stops or is_due or completions != session.completions_sent):
--- a/packages/policy/src/samphiredeal/policy/graphs/scheduler.py
+++ b/packages/policy/src/samphiredeal/policy/graphs/scheduler.py
@@ -270,8 +270,11 @@
             self._moves_due_at = now + _MOVE_INTERVAL_S
             self._move_to_faster_worker(now, context)
 
-    def orders_for(self, worker_name, now):
-        """Return (starts, stops) that are due to be sent to a worker's agent."""
+    def orders_for(self, worker_name, now, may_start=True):
+        """Return (starts, stops) that are due to be sent to a worker's agent.
+
+        Without `may_start` the starts wait, because what the last plan knew is too old.
+        """
         worker = self.workers[worker_name]
         due, stops, in_flight = [], [], 0
         if not worker.reachable:
@@ -288,7 +291,7 @@
                         placement.stop_ordered_at = now
                     stops.append((placement.task, placement.run))
             elif placement.status == ORDERED and placement.sent_at is None:
-                if placement.unit not in self._units_found_elsewhere():
+                if may_start and placement.unit not in self._units_found_elsewhere():
                     due.append(placement)
             elif placement.status == ORDERED:
                 in_flight += 1
@@ -360,6 +363,10 @@
         if not unit.job.active:
             return f"its job is {unit.job.state}"
         worker = self.workers[placement.worker]
+        if placement.status == ORDERED and placement.sent_at is None:
+            reason = self._withdrawal_reason(placement, worker)
+            if reason:
+                return reason
         should_evacuate = worker.leaving and unit.spec.checkpointing
         if should_evacuate and self._has_alternative(unit, worker):
             return "its worker is leaving"
@@ -378,6 +385,18 @@
             return "its gang did not start as a whole"
         return ""
 
+    def _withdrawal_reason(self, placement, worker):
+        """Return why a start that was decided earlier must not be sent now, or ''.
+
+        An earlier scheduler may have sent it, so it is stopped rather than dropped.
+        """
+        if not worker.reachable or placement.life != worker.life:
+            # It is not sent before a report tells where the worker is.
+            return ""
+        if worker.zone in self.zones_out:
+            return "its zone is out of service"
+        return "its worker is leaving" if worker.leaving else ""
+
     def _is_abnormally_slow(self, placement):
         unit = placement.unit
         if unit.spec.lasting or unit.spec.count < 2 or placement.speed is None:
--- a/tests/graph_bench.py
+++ b/tests/graph_bench.py
@@ -1,9 +1,11 @@
 """The graph scheduler with simulated workers that apply orders immediately."""
 
+from collections import defaultdict
+
 from graph_builders import make_facts, make_report, make_scheduler
 
 from samphiredeal.model import runs
-from samphiredeal.model.runs import Ended, Running
+from samphiredeal.model.runs import Ended, Refused, Running
 
 
 class Bench:
@@ -15,6 +17,8 @@
         self.now = 0.0
         self.running = {name: {} for name in workers}
         self.completions = {name: [] for name in workers}
+        # Runs that were stopped before they had started.
+        self.refused = defaultdict(list)
         self.percent = {}
         self.poll_count = 0
         # Workers that have not carried out their stops yet.
@@ -40,11 +44,16 @@
             for order in starts:
                 self.running[name][(order.task, order.run)] = self.now
             for task, run in () if name in self.stopping_slowly else stops:
-                if self.running[name].pop((task, run), None) is not None:
-                    self.end(name, task, run, runs.STOPPED)
+                self._stop(name, task, run)
         return self
 
-    def report(self, name, **fields):
+    def _stop(self, name, task, run):
+        if self.running[name].pop((task, run), None) is not None:
+            self.end(name, task, run, runs.STOPPED)
+        elif (task, run) not in {(e.task, e.run) for e in self.completions[name]}:
+            self.refused[name].append(Refused(task, run, runs.STOPPED))
+
+    def report(self, name, refused=(), **fields):
         listed = tuple(
             Running(task, run, "", self.percent.get((name, task), self.poll_count % 90))
             for task, run in self.running[name]
@@ -56,6 +65,7 @@
                 running=listed,
                 ended=tuple(self.completions[name]),
                 looks=self.poll_count,
+                refused=(*refused, *self.refused[name]),
                 **fields,
             ),
             self.now,
