Store which run of a gang has been counted as failed

The next scheduler has the number of failures, but not the run that was counted, and counts the late ends of the same run again.

The number of the counted run is now stored beside the failures while members of the run are left. Only then can their ends still count: an end without a placement never does.

In the in-memory worker a new fault lets several members fail in one run, as workers that fail all that they start do.

--- a/packages/platform/src/samphiredeal/platform/memory_worker.py
+++ b/packages/platform/src/samphiredeal/platform/memory_worker.py
@@ -17,6 +17,8 @@
 
 # How long an answer to a poll is awaited beyond its own waiting time.
 _POLL_TIMEOUT_S = 0.5
+# A worker that fails all that it starts does so this long after a start.
+_FAIL_AFTER_S = 0.1
 
 
 class Work(NamedTuple):
@@ -39,7 +41,8 @@
     `lose_answers` is the number of starts and stops to be applied without an answer,
     `lose_polls` that of polls; `late_s` delays calls, which are then not answered. A
     worker that is `down` refuses connections. With `hang`, new runs make no progress;
-    with `fail_all` they fail.
+    with `fail_all` they fail as they end, with `fail_starts` soon after their start, as
+    do all members of their gang on such workers.
     """
 
     def __init__(self):
@@ -49,6 +52,7 @@
         self.down = False
         self.hang = False
         self.fail_all = False
+        self.fail_starts = False
 
 
 class Gangs:
@@ -68,10 +72,14 @@
     def end_others(self, task, how):
         """End the other members of a task's gang."""
         members = self.present.pop((task.work.gang, task.run), ())
-        other_how = how if how == runs.DONE else runs.GANG_BROKEN
         for member in members:
-            if member is not task:
-                member.end(other_how)
+            if member is task:
+                continue
+            if how == runs.DONE:
+                member.end(how)
+            else:
+                is_sick = member.worker.faults.fail_starts
+                member.end(runs.FAILED if is_sick else runs.GANG_BROKEN)
 
 
 class _Task:
@@ -278,6 +286,8 @@
         task = _Task(self, order.task, order.run, work, order.checkpoint)
         self._running[order.task] = task
         self._watch("start", self, order.task, order.run, "")
+        if self.faults.fail_starts:
+            self.clock.callLater(_FAIL_AFTER_S, task.end, runs.FAILED)
         if work.gang:
             self.gangs.join(task)
         else:
--- a/packages/policy/src/samphiredeal/policy/graphs/records.py
+++ b/packages/policy/src/samphiredeal/policy/graphs/records.py
@@ -35,13 +35,18 @@
 
 
 class UnitRecord(NamedTuple):
-    """State of a unit that has been started or is done."""
+    """State of a unit that has been started or is done.
+
+    `failed_run` is set while members of a run that is counted in `failures` may still
+    report that they have failed in it, too.
+    """
 
     run: Count
     done: bool = False
     failures: Count = 0
     checkpoint: str = ""
     places: tuple[PlaceRecord, ...] = ()
+    failed_run: Count = 0
 
 
 class Progress(NamedTuple):
@@ -136,12 +141,14 @@
     """Return a unit's record with some of its placements, or None if it needs none."""
     if not (unit.placements or (unit.run and unit.job.active)):
         return None
+    has_failing_members = unit.placements and unit.failed_run == unit.run
     return UnitRecord(
         unit.run,
         unit.done,
         unit.failures,
         unit.checkpoint,
         tuple(PlaceRecord(p.index, p.worker, p.life) for p in placements),
+        unit.failed_run if has_failing_members else 0,
     )
 
 
@@ -169,6 +176,7 @@
     return newer._replace(
         done=first.done or second.done,
         failures=max(first.failures, second.failures),
+        failed_run=max(first.failed_run, second.failed_run),
         places=places,
     )
 
@@ -194,6 +202,7 @@
         unit.done = stored.done
         unit.done_at = now if stored.done else None
         unit.failures = stored.failures
+        unit.failed_run = stored.failed_run
         unit.checkpoint = stored.checkpoint
         for place in stored.places:
             placements.append(_restore_placement(unit, place, stored.run, now))
--- a/packages/policy/tests/test_gang_attempts.py
+++ b/packages/policy/tests/test_gang_attempts.py
@@ -5,6 +5,7 @@
 from graph_builders import make_record, make_step
 
 from samphiredeal.model import runs
+from samphiredeal.policy.graphs import records
 from samphiredeal.policy.graphs.state import COMPLETED, FAILED
 
 
@@ -70,3 +71,47 @@
     fail_members(bench, count=0)
     bench.step().step()
     assert len(bench.places("a")) == 3
+
+
+def take_over(bench):
+    """Return a bench with the same workers and a scheduler that has read ``a``."""
+    job = bench.scheduler.jobs["a"]
+    stored = records.decode(records.encode(records.progress_of(job)), records.Progress)
+    other = Bench(bench.facts)
+    other.scheduler.add_job(job.record, stored, 0.0)
+    other.running, other.completions = bench.running, bench.completions
+    return other
+
+
+# Guards against an end that a new scheduler counts again, as the one before had stored
+# it and not acknowledged it, or loses, as that one had not stored it.
+@pytest.mark.parametrize("is_stored", [False, True])
+@pytest.mark.parametrize("step", [make_step(), make_step(3, 2, gang=True)])
+def test_end_that_is_listed_to_two_schedulers_costs_one_attempt(step, is_stored):
+    bench = Bench(make_workers())
+    bench.add(make_record("a", [step], max_attempts=2))
+    bench.step().step()
+    before = take_over(bench)
+    bench.end_all("a", runs.FAILED)
+    if is_stored:
+        bench.step()
+    other = take_over(bench) if is_stored else before
+    other.step().step()
+    (unit,) = other.scheduler.jobs["a"].units.values()
+    assert unit.failures == 1
+    assert other.state("a") != FAILED
+
+
+# Earlier builds cannot read the number of the failed run, so it is stored only for as
+# long as members of that run may still end.
+def test_number_of_the_failed_run_is_stored_while_members_are_left():
+    bench = make_bench(max_attempts=3)
+    bench.stopping_slowly = set(bench.facts)
+    (unit,) = bench.scheduler.jobs["a"].units.values()
+    for name, task, run in list_runs(bench):
+        bench.end(name, task, run, runs.FAILED)
+        bench.report(name)
+        stored = records.unit_record(unit, unit.placements.values())
+        assert stored.failures == 1
+        assert stored.failed_run == (1 if unit.placements else 0)
+    assert not unit.placements
