Do not try a start again on a leaving worker, or after a suspension

A worker that announced to leave between two tries got the start as well.

Both are now checked before each try. The start is refused if no earlier try can take effect, else settled as any start without an answer.

--- a/packages/agent/src/samphiredeal/agent/graphs/run_manager.py
+++ b/packages/agent/src/samphiredeal/agent/graphs/run_manager.py
@@ -533,6 +533,12 @@
         while self._is_current(run, start):
             if run in self._pending_stops:
                 break
+            obstacle = self._obstacle_to(start)
+            if obstacle:
+                if is_only_try:
+                    self._start_refused(run, start, obstacle, is_only_try)
+                    return
+                break
             self._lease_expiry.record_start()
             answer = await self._calls.start(
                 start.order, epoch, deadline_ms, START_TIMEOUT_S, self._facts.id
@@ -567,6 +573,17 @@
             start.expires_at = began_at + _START_EFFECT_S
             self._on_change()
 
+    def _obstacle_to(self, start):
+        """Return the reason not to try a start now, or an empty string.
+
+        Since the last try, the worker may have announced to leave, and this VM may have
+        been suspended for longer than a decision of the scheduler holds.
+        """
+        if self._facts.leaving:
+            return runs.LEAVING
+        is_overdue = self._clock.seconds() - start.began_at > _START_GIVE_UP_S
+        return runs.UNANSWERED if is_overdue else ""
+
     def _is_current(self, run, start):
         """Return whether a start is pending for the worker's present incarnation."""
         facts = self._facts
