Withdraw a stored start whose room an unknown run uses

New work is kept off such a worker, as its room is not known; a start that was stored before was not, and the worker, which starts what it is told, went over its capacity.

The plan now withdraws it like one whose zone is out.

Evidence: test_stored_start_is_not_sent_beside_an_unknown_run failed before and passes. It was not seen outside the test.

--- a/packages/policy/src/samphiredeal/policy/graphs/scheduler.py
+++ b/packages/policy/src/samphiredeal/policy/graphs/scheduler.py
@@ -395,6 +395,8 @@
             return ""
         if worker.zone in self.zones_out:
             return "its zone is out of service"
+        if worker.foreign_runs:
+            return "an unknown run uses its worker"
         return "its worker is leaving" if worker.leaving else ""
 
     def _is_abnormally_slow(self, placement):
--- a/packages/policy/tests/test_waiting_starts.py
+++ b/packages/policy/tests/test_waiting_starts.py
@@ -136,3 +136,17 @@
     assert scheduler.orders_for("w0", 0.0, may_start=False) == ([], [])
     starts, _stops = scheduler.orders_for("w0", 0.0)
     assert [order.task for order in starts] == ["a.0.0.0"]
+
+
+# Guards against LIMIT: the room of a stored start is in use by a run that the rows do
+# not name. The worker is not chosen for other work either.
+def test_stored_start_is_not_sent_beside_an_unknown_run():
+    bench = take_over_task(steps=[make_step(1, 8)])
+    bench.running["w0"][("b.0.0.0", 1)] = 0.0
+    bench.stopping_slowly = {"w0"}
+    for _ in range(4):
+        bench.step(0.1)
+        assert list(bench.running["w0"]) == [("b.0.0.0", 1)]
+    bench.stopping_slowly = set()
+    bench.step(0.6).step(0.1)
+    assert len(bench.places("a")) == 1
