Never answer a cancel as not done

A caller cancelled a job at an entry that lost the store, was told 503 by another one, and the job was cancelled later by the first write (3 known red tests).

Cause: "not done" rests on what one entry remembers of its own writes; an earlier try of the same cancel may be pending at the store for an entry that is lost.

No entry can know that of a cancel, and nobody needs the 503: a caller has to send the cancel again in both cases. It is answered "unsettled" (504) now, with the same Retry-After.

--- a/packages/entry/src/samphiredeal/entry/graphs/in_doubt.py
+++ b/packages/entry/src/samphiredeal/entry/graphs/in_doubt.py
@@ -21,9 +21,10 @@
     def correct(self, call, answer):
         """Return the answer to a call, given the result `answer` of this try of it.
 
-        "not-done" becomes "unsettled" while an earlier try is in doubt. While a
-        submission is, "no such job" becomes "cancelled" for a cancel, which is stored,
-        else "unsettled". Other refusals say nothing of earlier tries.
+        "not-done" becomes "unsettled" while an earlier try is in doubt, and always for
+        a cancel: another entry, which may be lost, may have an earlier try in doubt.
+        "no such job" becomes "unsettled" while a submission is in doubt, or "cancelled"
+        for a cancel, which is stored. Other refusals say nothing of earlier tries.
         """
         self._drop_expired()
         key = (call.verb, call.host, call.path)
@@ -39,7 +40,9 @@
             self._calls[key] = self._clock.seconds()
         elif answer.kind in answers.EFFECTIVE:
             self._calls.pop(key, None)
-        elif answer.kind == answers.NOT_DONE and key in self._calls:
+        elif answer.kind == answers.NOT_DONE and (
+            key in self._calls or call.verb == answers.CANCEL
+        ):
             reason = f"an earlier try may still take effect; this try: {answer.reason}"
             return answer._replace(kind=answers.UNSETTLED, reason=reason)
         return answer
--- a/tests/test_told_outside.py
+++ b/tests/test_told_outside.py
@@ -160,6 +160,17 @@
     assert len(world.event_log.starts(TASK)) == (state == "completed")
 
 
+# A look promises nothing for later: while a submission is pending at the store, an
+# entry that does not know of it says that there is no such job, and finds it later.
+def test_look_at_another_entry_tells_what_is_stored():
+    world, first, second = make_world()
+    held = submit_into_doubt(world, first, is_answered=True)
+    assert world.state(second, "a1") == answers.NO_JOB
+    end_silence(world, held)
+    assert world.state(second, "a1") == "completed"
+    assert len(world.event_log.starts(TASK)) == 1
+
+
 # Guards against a start after a caller's cancel was answered with "no such job", while
 # the submission was pending at the store.
 @pytest.mark.parametrize("is_answered", [False, True])
