Do not repeat a stop once a newer scheduler has been heard

Stops are not stored: the next scheduler does not know of one that was ordered before it, and lost work that it counted on.

A pending stop keeps the epoch of the scheduler that has ordered it, and is dropped if it has no answer as a newer one is heard. That one orders it again if its own state asks for it, as for cancelled jobs. Stops by which the agent settles a start go on.

Evidence: test_stop_is_not_repeated_for_a_newer_scheduler failed before and passes.

--- a/packages/agent/src/samphiredeal/agent/graphs/run_manager.py
+++ b/packages/agent/src/samphiredeal/agent/graphs/run_manager.py
@@ -95,9 +95,14 @@
 
 
 class _PendingStop:
-    """A stop order whose effect is not confirmed by a poll yet."""
+    """A stop whose effect is not confirmed by a poll yet.
 
-    def __init__(self):
+    `epoch` is that of the scheduler that has ordered it, or None if this agent has
+    decided it, to settle a start.
+    """
+
+    def __init__(self, epoch):
+        self.epoch = epoch
         self.answered_at = None
 
 
@@ -484,7 +489,7 @@
         for order in orders.starts:
             self._begin_start(order)
         for run in orders.stops:
-            self._begin_stop(run)
+            self._begin_ordered_stop(run)
 
     def _begin_start(self, order):
         run = RunId(order.task, order.run)
@@ -634,14 +639,40 @@
         self._refused[run] = reason
         self._on_change()
 
-    def _begin_stop(self, run):
+    def _begin_ordered_stop(self, run):
+        """Begin a stop that the newest scheduler orders."""
+        self._drop_outdated_stop(run)
+        self._begin_stop(run, self._authority.epoch)
+
+    def _begin_stop(self, run, epoch=None):
         if run in self._pending_stops or run in self._refused:
             return
-        stop = self._pending_stops[run] = _PendingStop()
+        stop = self._pending_stops[run] = _PendingStop(epoch)
         self._spawn(self._stop(run, stop))
 
+    def _drop_outdated_stop(self, run):
+        """Drop a stop without an answer whose scheduler has been replaced.
+
+        The next scheduler does not know of it, and may count on the run.
+        """
+        stop = self._pending_stops.get(run)
+        if stop is None or stop.epoch is None or stop.answered_at is not None:
+            return
+        if stop.epoch < self._authority.epoch:
+            del self._pending_stops[run]
+            log_message(
+                message_type="run_stop_dropped",
+                task=run.task,
+                run=run.run,
+                epoch=stop.epoch,
+                newest=self._authority.epoch,
+            )
+
     async def _stop(self, run, stop):
         while self._pending_stops.get(run) is stop and not self._stopped:
+            self._drop_outdated_stop(run)
+            if run not in self._pending_stops:
+                return
             facts = self._facts
             answer = None
             if facts is not None:
--- a/packages/agent/tests/test_run_manager.py
+++ b/packages/agent/tests/test_run_manager.py
@@ -2,12 +2,14 @@
 
 import pytest
 from agent_bench import LEASE_S, TASK, AgentBench
+from twisted.internet.defer import Deferred
 from twisted.internet.task import Clock
 
 from samphiredeal.agent.graphs.lease_authority import LeaseAuthority
 from samphiredeal.model import runs
 from samphiredeal.model.runs import RunId
 from samphiredeal.model.timing import LEASE_AUTHORITY_S, lease_wait_s
+from samphiredeal.platform.table import Unavailable
 
 
 def test_lease_is_extended_while_authorized():
@@ -169,3 +171,46 @@
     bench.run(3.0)
     (ended,) = bench.run_manager.report().ended
     assert ended.how == runs.STOPPED
+
+
+def pause_worker_stops(bench):
+    """Let the worker answer no stop; return a function that ends that."""
+    stop = bench.worker.stop
+
+    def ignore(_run, _epoch, timeout_s, _worker_id):
+        unanswered = Deferred()
+        lost = Unavailable("no answer")
+        bench.clock.callLater(timeout_s, unanswered.callback, lost)
+        return unanswered
+
+    bench.worker.stop = ignore
+
+    def resume():
+        bench.worker.stop = stop
+
+    return resume
+
+
+# Guards against a stop that outlasts the scheduler which decided it: repeated under the
+# epoch of the next one, it ended work that this one counts on.
+def test_stop_is_not_repeated_for_a_newer_scheduler():
+    bench = AgentBench().order([1]).run(2.0)
+    resume = pause_worker_stops(bench)
+    bench.order(stops=[1]).run(1.0)
+    bench.authority.observe_epoch(2)
+    bench.run(0.1)
+    resume()
+    bench.run(3.0)
+    assert bench.worker.running == [RunId(TASK, 1)]
+
+
+# A newer scheduler that decides the same has the run stopped.
+def test_stop_that_a_newer_scheduler_orders_again_is_carried_out():
+    bench = AgentBench().order([1]).run(2.0)
+    resume = pause_worker_stops(bench)
+    bench.order(stops=[1]).run(1.0)
+    bench.authority.observe_epoch(2)
+    bench.order(stops=[1]).run(0.1)
+    resume()
+    bench.run(3.0)
+    assert bench.worker.running == []
