Remember each worker that has failed a unit once

Four members that failed in one run on one worker made the unit forget the workers of its runs before.

The list now has each worker once.

Evidence: test_worker_that_failed_a_gang_is_remembered_beyond_its_next_run failed before and passes.

--- a/packages/policy/src/samphiredeal/policy/graphs/reports.py
+++ b/packages/policy/src/samphiredeal/policy/graphs/reports.py
@@ -267,7 +267,8 @@
 
 def _fail_unit(unit, worker, ran_s, now):
     health.record_failure(worker, unit, ran_s, now)
-    unit.failed_on = [*unit.failed_on[-_FAILED_WORKERS_KEPT:], worker.name]
+    others = [name for name in unit.failed_on if name != worker.name]
+    unit.failed_on = [*others[-_FAILED_WORKERS_KEPT:], worker.name]
     _stop_remaining(unit, "a member of its gang failed")
 
 
--- a/packages/policy/tests/test_gang_attempts.py
+++ b/packages/policy/tests/test_gang_attempts.py
@@ -102,6 +102,22 @@
     assert other.state("a") != FAILED
 
 
+# Guards against a worker that has failed a gang and is forgotten, as many members fail
+# on another one in a later run.
+def test_worker_that_failed_a_gang_is_remembered_beyond_its_next_run():
+    bench = Bench(make_workers())
+    steps = [make_step(6, 1, gang=True)]
+    bench.add(make_record("a", steps, max_attempts=4))
+    failed_on = []
+    for _ in range(3):
+        bench.step().step()
+        failed_on += set(bench.places("a"))
+        bench.end_all("a", runs.FAILED)
+    bench.step()
+    (unit,) = bench.scheduler.jobs["a"].units.values()
+    assert set(failed_on) == set(unit.failed_on)
+
+
 # Earlier builds cannot read the number of the failed run, so it is stored only for as
 # long as members of that run may still end.
 def test_number_of_the_failed_run_is_stored_while_members_are_left():
