--- a/tests/test_lost_scheduler.py
+++ b/tests/test_lost_scheduler.py
@@ -2,7 +2,9 @@
 
 import pytest
 from graph_world import make_graph_world
+from held_writes import HeldWrites
 
+from samphiredeal.entry.graphs import work
 from samphiredeal.model import answers
 
 STEP = {"count": 1, "cpu": 1000, "mem-mb": 1000, "gpu": 1, "estimated-ms": 1000}
@@ -172,3 +174,22 @@
         world.add_agent(name)
         world.send_heartbeats(name, 1)
     world.run_until(world.scheduler, 0.2)
+
+
+# Guards against an epoch whose holder does not know that it holds it: the store applies
+# a takeover after its entry has read that it was not applied. Urgent work has to begin
+# within 2.7 s.
+def test_takeover_that_the_store_applies_late_leaves_a_scheduler():
+    world = make_graph_world(entries=2)
+    _scheduler, entry = fail_scheduler(world, "killed")
+    held = HeldWrites(world, entry, is_takeover)
+    world.run_until(lambda: len(held) == 2, 5.0)
+    held.release()
+    held.apply()
+    assert first_start_s(world, entry) <= 2.7
+    assert world.scheduler() == entry
+
+
+def is_takeover(puts, _deletes):
+    """Return whether a write takes the role of the scheduler."""
+    return any(put.key == work.EPOCH_KEY for put in puts)
--- a/tests/test_told_outside.py
+++ b/tests/test_told_outside.py
@@ -603,6 +603,32 @@
     assert request.verdict != b"not-run"
 
 
+# Guards against "unknown" for the cancel of a job whose submission another entry has in
+# doubt: the job runs later.
+def test_job_in_doubt_is_cancelled_at_another_entry():
+    clock = Clock()
+    table = MemoryTable(clock)
+    submitting = MemoryTable(clock)
+    held = []
+    submitting.read = table.read
+
+    def hold(conditions, puts, deletes=()):
+        held.append((conditions, puts, deletes))
+        return submitting._time_out(CALL_TIMEOUT_S)
+
+    submitting.write = hold
+    job = Job("j1", "a", Shape(1, 1, 1))
+    ensureDeferred(JobStore(clock, submitting, "r").submit(job, "n"))
+    clock.pump([0.5] * 20)
+    request = ApiRequest(b"DELETE", [b"j1"])
+    call_api(SimpleNamespace(jobs=JobStore(clock, table, "r")), clock, request, b"jobs")
+    assert request.responseCode in (202, 404)
+    for write in held:
+        table._apply(*write)
+    row = table.rows.get("job/r/j1")
+    assert row is None or msgspec.json.decode(row.value)["cancelled"]
+
+
 # Guards against "not-run" for a request that fails in the entry after its dispatch.
 def test_request_that_fails_after_its_dispatch_is_not_told_as_not_run():
     clock = Clock()
