--- a/tests/graph_world.py
+++ b/tests/graph_world.py
@@ -24,6 +24,9 @@
 from samphiredeal.platform.memory_worker import Gangs, MemoryWorker, Work
 from samphiredeal.platform.settings import Bounds
 from samphiredeal.platform.table import Put
+from samphiredeal.wire import codec
+from samphiredeal.wire import orders as coding
+from samphiredeal.wire.messages import WorkOrders
 
 STEP_S = 0.05
 HEARTBEAT_S = 1.5
@@ -440,6 +443,20 @@
         world.nodes[name].faults.silent = silent
 
 
+def lose_starts(world):
+    """Lose all messages with orders to start something; return the former function."""
+    transmit = world.network.transmit
+
+    def transmit_others(link, data):
+        message = codec.decode(data)
+        is_orders = isinstance(message, WorkOrders) and message.body
+        if not (is_orders and coding.decode_orders(message.body).starts):
+            transmit(link, data)
+
+    world.network.transmit = transmit_others
+    return transmit
+
+
 def check_invariants(world):
     """Check that no task overlapped itself and no worker exceeded its capacity."""
     assert world.event_log.overlaps() == []
--- a/tests/test_cancel_in_doubt.py
+++ b/tests/test_cancel_in_doubt.py
@@ -5,7 +5,7 @@
 """
 
 import pytest
-from graph_world import BOUNDS, make_graph_world
+from graph_world import BOUNDS, lose_starts, make_graph_world
 from held_writes import (
     BODY,
     ENTRIES,
@@ -182,3 +182,20 @@
     held.apply()
     world.run(5.0)
     assert_cancelled(world, second)
+
+
+# Guards against a start by rows of long ago: the scheduler's writes are answered and
+# its reads are not, and the order to start the task is lost until after the cancel.
+def test_lost_start_is_not_sent_again_while_cancels_are_not_heard():
+    world, first, _second = make_world()
+    scheduler = world.nodes[world.scheduler()]
+    transmit = lose_starts(world)
+    assert submit(world, first).kind == answers.ACCEPTED
+    world.run_until(lambda: work.progress_key("a1") in world.table.rows, 2.0)
+    table = scheduler.process._table
+    table.changes = lambda after, wait_s: table._table._time_out(wait_s)
+    assert cancel(world, first).kind == answers.CANCELLED
+    world.run(4.0)
+    world.network.transmit = transmit
+    world.run(3.0)
+    assert world.event_log.starts(TASK) == []
--- a/tests/test_evacuated_zone.py
+++ b/tests/test_evacuated_zone.py
@@ -7,14 +7,16 @@
 import msgspec
 import pytest
 from graph_builders import STEP
-from graph_world import check_invariants, make_graph_world, set_store_silent
+from graph_world import (
+    check_invariants,
+    lose_starts,
+    make_graph_world,
+    set_store_silent,
+)
 
 from samphiredeal.entry.graphs import work
 from samphiredeal.model import answers
 from samphiredeal.platform.memory import Faults
-from samphiredeal.wire import codec
-from samphiredeal.wire import orders as coding
-from samphiredeal.wire.messages import WorkOrders
 
 TASK = "a1.0.0.0"
 ONE = {**STEP, "count": 1, "estimated-ms": 4000}
@@ -186,17 +188,3 @@
     world.run(12.0)
     assert starts_after(world, zone, out_at) == []
     assert world.state("e0", "a1") == "completed"
-
-
-def lose_starts(world):
-    """Lose all messages with orders to start something; return the former function."""
-    transmit = world.network.transmit
-
-    def transmit_others(link, data):
-        message = codec.decode(data)
-        is_orders = isinstance(message, WorkOrders) and message.body
-        if not (is_orders and coding.decode_orders(message.body).starts):
-            transmit(link, data)
-
-    world.network.transmit = transmit_others
-    return transmit
