--- a/packages/platform/src/samphiredeal/platform/memory_worker.py
+++ b/packages/platform/src/samphiredeal/platform/memory_worker.py
@@ -17,8 +17,6 @@
 
 # How long an answer to a poll is awaited beyond its own waiting time.
 _POLL_TIMEOUT_S = 0.5
-# A worker that fails all that it starts does so this long after a start.
-_FAIL_AFTER_S = 0.1
 
 
 class Work(NamedTuple):
@@ -41,8 +39,8 @@
     `lose_answers` is the number of starts and stops to be applied without an answer,
     `lose_polls` that of polls; `late_s` delays calls, which are then not answered. A
     worker that is `down` refuses connections. With `hang`, new runs make no progress;
-    with `fail_all` they fail as they end, with `fail_starts` soon after their start, as
-    do all members of their gang on such workers.
+    with `fail_all` they fail as they end. The next `fail_starts` runs fail, each
+    `fail_after_s` after its start or as another such member of its gang does.
     """
 
     def __init__(self):
@@ -52,7 +50,15 @@
         self.down = False
         self.hang = False
         self.fail_all = False
-        self.fail_starts = False
+        self.fail_starts = 0
+        self.fail_after_s = 0.1
+
+    def fails_start(self):
+        """Return whether the run that starts now fails, and count it if so."""
+        if self.fail_starts <= 0:
+            return False
+        self.fail_starts -= 1
+        return True
 
 
 class Gangs:
@@ -78,8 +84,7 @@
             if how == runs.DONE:
                 member.end(how)
             else:
-                is_sick = member.worker.faults.fail_starts
-                member.end(runs.FAILED if is_sick else runs.GANG_BROKEN)
+                member.end(runs.FAILED if member.fails else runs.GANG_BROKEN)
 
 
 class _Task:
@@ -91,6 +96,7 @@
         self.run = run
         self.work = work
         self.base_s = float(checkpoint) if checkpoint else 0.0
+        self.fails = worker.faults.fails_start()
         self.began_at = None
         self.timer = None
         self.ended = False
@@ -286,8 +292,8 @@
         task = _Task(self, order.task, order.run, work, order.checkpoint)
         self._running[order.task] = task
         self._watch("start", self, order.task, order.run, "")
-        if self.faults.fail_starts:
-            self.clock.callLater(_FAIL_AFTER_S, task.end, runs.FAILED)
+        if task.fails:
+            self.clock.callLater(self.faults.fail_after_s, task.end, runs.FAILED)
         if work.gang:
             self.gangs.join(task)
         else:
--- a/packages/standins/src/samphiredeal/standins/graph_worker.py
+++ b/packages/standins/src/samphiredeal/standins/graph_worker.py
@@ -19,6 +19,7 @@
 - ``foreign_heartbeat``: another writer sends a heartbeat with ``id``,
   ``born_offset_ms`` and ``sequence``.
 - ``omit_born``: the lists of runs have no start time for ``seconds``.
+- ``fail_starts``: the next ``count`` runs fail, each ``after_s`` after its start.
 """
 
 import collections
@@ -188,6 +189,10 @@
     def _fault_omit_born(self, seconds):
         self._omits_born_until = reactor.seconds() + seconds
 
+    def _fault_fail_starts(self, count, after_s):
+        self.worker.faults.fail_starts = count
+        self.worker.faults.fail_after_s = after_s
+
     # Calls of the agent
 
     async def _answer(self, request):
--- a/tests/test_gang_failures.py
+++ b/tests/test_gang_failures.py
@@ -23,10 +23,10 @@
 }
 
 
-def set_sick(world, sick):
-    """Let all workers fail what they start, or not."""
+def fail_starts(world, count):
+    """Let each worker fail as many of its next runs."""
     for worker in world.workers.values():
-        worker.faults.fail_starts = sick
+        worker.faults.fail_starts = count
 
 
 def failed_ends(world, run=None):
@@ -43,15 +43,15 @@
 
     Returns when all members have failed and the heard ones are recorded.
     """
-    set_sick(world, True)
+    fail_starts(world, 1)
     world.submit("e0", "a1", [GANG])
     world.run_until(lambda: len(world.event_log.starts()) == 3, 3.0)
+    fail_starts(world, 0)
     placed = [start.worker for start in world.event_log.starts()]
     for worker in placed[:unheard]:
         for name in ENTRIES:
             world.network.cut(worker, name)
     world.run_until(lambda: len(failed_ends(world)) == 3, 1.0)
-    set_sick(world, False)
     heard = 3 - unheard
     world.run_until(lambda: len(world.event_log.recorded) >= heard, 1.0)
     assert len(world.event_log.recorded) == heard
@@ -99,7 +99,7 @@
     world = make_graph_world()
     world.configure(**{"max-attempts": max_attempts})
     world.run(1.0)
-    set_sick(world, True)
+    fail_starts(world, 10)
     world.submit("e0", "a1", [GANG])
     world.run_until(lambda: len(failed_ends(world)) == 3, 5.0)
     lose(world)
--- a/tests/test_graph_processes.py
+++ b/tests/test_graph_processes.py
@@ -16,6 +16,8 @@
 TIMEOUT_S = 40
 STEP = {"count": 3, "cpu": 1000, "mem-mb": 1000, "gpu": 1, "estimated-ms": 1000}
 JOB = {"spec": "1.0", "steps": [STEP, {**STEP, "after": [0]}]}
+# Each member needs a worker of its own.
+GANG = {"gang": True, "gpu": 8}
 LONG = {"spec": "5.0", "steps": [{**STEP, "estimated-ms": 5000}]}
 
 
@@ -93,6 +95,33 @@
     assert list(starts(cluster).values()) == [1] * 3
 
 
+# Guards against a job that is shown as failed after one run of its gang: all members
+# fail, their ends come in two reports, and the scheduler or all entries are killed
+# between these.
+@pytest.mark.parametrize("killed", ["the scheduler", "all entries"])
+def test_gang_that_fails_in_all_members_is_run_again(cluster, killed):
+    for number in range(3):
+        worker = f"worker-{number}"
+        assert cluster.disturb_worker(worker, "fail_starts", count=1, after_s=1.0)
+    submit(cluster, "entry-0", "a1", {"spec": "1.0", "steps": [{**STEP, **GANG}]})
+    wait_for(lambda: len(starts(cluster)) == 3, TIMEOUT_S, "the gang has started")
+    unheard = ("agent-worker-1", "agent-worker-2")
+    for agent in unheard:
+        cluster.signal(agent, signal.SIGSTOP)
+    wait_for(lambda: cluster.recorded_ends("worker-0"), TIMEOUT_S, "an end is recorded")
+    entries = [cluster.scheduler()] if killed == "the scheduler" else cluster.entries
+    for entry in entries:
+        cluster.signal(entry, signal.SIGKILL)
+    for agent in unheard:
+        cluster.signal(agent, signal.SIGCONT)
+    for entry in entries:
+        cluster.wait(entry)
+        cluster.start_again(entry)
+    for entry in cluster.entries:
+        wait_for_state(cluster, entry, "a1", "completed")
+    assert list(starts(cluster).values()) == [2] * 3
+
+
 def test_process_that_cannot_listen_exits_with_a_reason(cluster):
     """A process that kept running would be a node without a reachable port."""
     cluster.start_again("entry-0 again", "entry-0")
