--- a/packages/entry/src/samphiredeal/entry/graphs/dispatcher.py
+++ b/packages/entry/src/samphiredeal/entry/graphs/dispatcher.py
@@ -83,8 +83,8 @@
         self._last_checkpoint_at = self._clock.seconds()
         self._querying_advice = False
         self._delete_at = self._clock.seconds() + _DELETE_INTERVAL_S
-        # Since when there has been a cancel without a job, by job id.
-        self._cancel_alone_since = {}
+        # When a cancel without a job was first seen, by job id.
+        self._unmatched_cancels = {}
         self._stopped = False
         self._timer = None
 
@@ -462,16 +462,15 @@
 
         The conditions keep a cancel if its job is submitted meanwhile.
         """
-        since = self._cancel_alone_since
+        known = self._unmatched_cancels
         cancels, jobs = self._view.cancels, self._view.jobs
-        alone = {
-            job_id: since.get(job_id, now) for job_id in cancels if job_id not in jobs
+        self._unmatched_cancels = {
+            job_id: known.get(job_id, now) for job_id in cancels if job_id not in jobs
         }
-        self._cancel_alone_since = alone
         old = [
             job_id
-            for job_id, since_s in alone.items()
-            if now - since_s > self._host.state_kept_s
+            for job_id, first_seen_at in self._unmatched_cancels.items()
+            if now - first_seen_at > self._host.state_kept_s
         ][:_MAX_CANCELS_PER_WRITE]
         conditions = []
         for job_id in old:
