Tests: a run of a gang that is charged twice by rows of different age (red)

All members of a gang fail, and the write after that has room for some of its rows only. The new rows count the failure and say nothing of the charged run, as they hold no member any more; an old row still lists members. A new scheduler joins the two and charges the ends that are reported again: 2 failures after one run.

--- a/packages/entry/tests/test_progress_store.py
+++ b/packages/entry/tests/test_progress_store.py
@@ -343,3 +343,45 @@
         record, records.decode(data, records.Progress), 0.0
     )
     assert restored.finished_before == job.finished_before == 4000
+
+
+def failed_ends(job):
+    """Return the ends of the gang 0.0, all of whose members fail, by worker."""
+    ended = {}
+    for placement in job.units["0.0"].placements.values():
+        ended.setdefault(placement.worker, []).append(
+            Ended(placement.index + 1, placement.task, 1, runs.FAILED, "")
+        )
+    return ended
+
+
+def report_ends(scheduler, ended):
+    """Apply a report of each worker, with the ends that it lists."""
+    for name, ends in ended.items():
+        report = runs.Report(make_facts(name), ended=tuple(ends))
+        scheduler.apply_report(name, report, 1.0)
+
+
+# Guards against a second attempt that is charged for one run of a gang: a write has
+# room for some rows of the gang only, a new scheduler takes over, and the older rows
+# list members of which the newer ones say that they have failed.
+@pytest.mark.parametrize("others", range(7))
+@pytest.mark.parametrize("count", [2, 40, 64, 128])
+def test_run_of_a_gang_is_charged_once_by_rows_of_different_age(count, others):
+    record = make_large(count, gang=True)
+    smaller = [make_large(1, id=f"b{number}") for number in range(others)]
+    store = make_store(*smaller, record, limits=LIMITS._replace(row_bytes=1000))
+    store.write_all()
+    job = store.scheduler.jobs["a"]
+    ended = failed_ends(job)
+    report_ends(store.scheduler, ended)
+    assert job.units["0.0"].failures == 1
+    for other in smaller:
+        one = store.scheduler.jobs[other.id]
+        one.touch(next(iter(one.units.values())))
+    store.write_next()
+    taken_over = store.taken_over(record)
+    report_ends(taken_over.scheduler, ended)
+    restored = taken_over.scheduler.jobs["a"]
+    assert restored.units["0.0"].failures == 1
+    assert restored.active
