Log which failures a new scheduler has read

A run charged twice looked the same whether its charge had never been stored or had been forgotten by the rows. term_began now names up to 100 units that have failed, with their last run, failures, charged run and members; run_ended says what was charged before it.

--- a/packages/entry/src/samphiredeal/entry/graphs/dispatcher.py
+++ b/packages/entry/src/samphiredeal/entry/graphs/dispatcher.py
@@ -54,7 +54,7 @@
 _MAX_SPEEDS_PER_WRITE = 20
 # Steps of a job that are described in the log.
 _LOGGED_STEPS = 12
-# Active jobs that are named in the log as a term begins.
+# Active jobs, and units that have failed, that are named in the log as a term begins.
 _LOGGED_JOBS = 100
 # How often new checkpoints of running work are stored, so that they survive the loss of
 # every scheduler's memory.
@@ -109,6 +109,7 @@
             jobs=len(jobs),
             active=len(active),
             active_jobs=active[:_LOGGED_JOBS],
+            failed_units=list(islice(_failed_units(jobs), _LOGGED_JOBS)),
             ends_by_rows=sum(self._view.is_end_stored(job.id) for job in jobs),
             rows_version=self._host.rows_version(),
         )
@@ -488,6 +489,15 @@
             deleted.addErrback(_log_failed_deletion)
 
 
+def _failed_units(jobs):
+    """Yield (job, unit, run, failures, charged run, members) as read from the rows."""
+    for job in jobs:
+        for unit in job.units.values() if job.active else ():
+            if unit.failures:
+                charge = (unit.run, unit.failures, unit.failed_run)
+                yield job.id, unit.key, *charge, len(unit.placements)
+
+
 def _speed_put(item):
     name, belief = item
     record = records.speed_record(belief)
--- a/packages/policy/src/samphiredeal/policy/graphs/reports.py
+++ b/packages/policy/src/samphiredeal/policy/graphs/reports.py
@@ -230,6 +230,7 @@
                 "reason": placement.stopping if is_current else "",
                 "saved": bool(ended.checkpoint),
                 "failures": unit.failures,
+                "charged_run": unit.failed_run,
             },
         )
     )
--- a/tests/test_incident_logs.py
+++ b/tests/test_incident_logs.py
@@ -98,6 +98,26 @@
     assert second["rows_version"] > first["rows_version"]
 
 
+# A new scheduler's line must say which failures it has read, so that a charge that was
+# never stored can be told from one that was forgotten.
+def test_term_is_logged_with_the_units_that_have_failed(logged):
+    world = make_graph_world()
+    for worker in world.workers.values():
+        worker.faults.fail_starts = True
+    world.submit("e0", "a1", [{**STEP, "count": 1, "estimated-ms": 9000}])
+    world.run_until(lambda: logged("attempt_failed"), 3.0)
+    for worker in world.workers.values():
+        worker.faults.fail_starts = False
+    world.run(1.0)
+    world.kill(world.scheduler())
+    world.run_until(world.scheduler, 5.0)
+    (unit,) = logged("term_began")[-1]["failed_units"]
+    job, key, run, failures, _charged_run, members = unit
+    assert (job, key, run, failures, members) == ("a1", "0.0.0", 2, 1, 1)
+    (ended,) = (line for line in logged("run_ended") if line["how"] == "failed")
+    assert (ended["failures"], ended["charged_run"]) == (0, 0)
+
+
 # What a caller was told must lead to the row that says so (inc-twice).
 def test_answered_state_is_logged_with_the_version_of_its_row(logged):
     world = make_graph_world()
