Keep the charge of a gang's run in every row of the gang

Callers saw a job shown as failed after one run of its gang, with attempts left.

Cause: the failures of a gang, the run that was charged last and the members that are left are valid only together. They stand in several rows, which a write of limited size stores at different times, and a row dropped the charged run together with its last member. Joined with an older row that still lists members, it gave failures and members of the run, and no charge; the ends, reported again to a new scheduler, were charged once more.

Every row of a gang now says which run was charged last, whatever members it lists. A row that has seen a member of a charged run end therefore always brings the charge along, and rows of any age join to the highest. Ends of that run cannot be charged by any scheduler that has read one of them.

The test of that expected the charge to be dropped with the last member expected the fault; it now expects the charge in every row.

--- a/packages/policy/src/samphiredeal/policy/graphs/records.py
+++ b/packages/policy/src/samphiredeal/policy/graphs/records.py
@@ -37,8 +37,8 @@
 class UnitRecord(NamedTuple):
     """State of a unit that has been started or is done.
 
-    `failed_run` is set while members of a run that is counted in `failures` may still
-    report that they have failed in it, too.
+    `failed_run` is the last run of a gang that is counted in `failures`: older rows may
+    list members of it.
     """
 
     run: Count
@@ -141,14 +141,14 @@
     """Return a unit's record with some of its placements, or None if it needs none."""
     if not (unit.placements or (unit.run and unit.job.active)):
         return None
-    has_failing_members = unit.placements and unit.failed_run == unit.run
     return UnitRecord(
         unit.run,
         unit.done,
         unit.failures,
         unit.checkpoint,
         tuple(PlaceRecord(p.index, p.worker, p.life) for p in placements),
-        unit.failed_run if has_failing_members else 0,
+        # The only task of another unit is in one row with the failures.
+        unit.failed_run if unit.spec.gang else 0,
     )
 
 
--- a/packages/policy/tests/test_gang_attempts.py
+++ b/packages/policy/tests/test_gang_attempts.py
@@ -118,9 +118,9 @@
     assert set(failed_on) == set(unit.failed_on)
 
 
-# Earlier builds cannot read the number of the failed run, so it is stored only for as
-# long as members of that run may still end.
-def test_number_of_the_failed_run_is_stored_while_members_are_left():
+# Guards against a charge that a row forgets with its last member, while another row may
+# still list members of the charged run.
+def test_charged_run_is_stored_with_every_row():
     bench = make_bench(max_attempts=3)
     bench.stopping_slowly = set(bench.facts)
     (unit,) = bench.scheduler.jobs["a"].units.values()
@@ -129,5 +129,5 @@
         bench.report(name)
         stored = records.unit_record(unit, unit.placements.values())
         assert stored.failures == 1
-        assert stored.failed_run == (1 if unit.placements else 0)
+        assert stored.failed_run == 1
     assert not unit.placements
