Write rows of units as earlier builds read them

Cause: since a unit's record has a sixth field, the charged run, which was written also where it is 0, as only the outer record drops its defaults. Earlier builds refuse such a row, and a job whose progress cannot be read counted as one that has not begun.

A unit is written with its five fields again. The charge of a gang is one more record among the units of the same row, with the run and the failures, under a key that names no unit; earlier builds pass over such keys. It needs no row and no write of its own, so it cannot be of another age than what it belongs to.

Evidence: the two new tests on the form of rows fail without this; the charge is known to every scheduler of this build after a takeover (test_gang_attempts, test_progress_store).

--- a/packages/policy/src/samphiredeal/policy/graphs/records.py
+++ b/packages/policy/src/samphiredeal/policy/graphs/records.py
@@ -22,6 +22,11 @@
 
 # Up to this many finished occurrences are listed one by one, as earlier builds read it.
 _MAX_LISTED_OCCURRENCES = 1000
+# The fields of a `UnitRecord` that earlier builds read. They refuse a row with more.
+_UNIT_FIELDS = 5
+# Ends the key of a gang's charge among the units of a row. Earlier builds pass over a
+# key that names no unit of the job.
+_CHARGE_SUFFIX = "/charged"
 # A number that a row may hold; larger ones do not fit into messages.
 Count = Annotated[int, msgspec.Meta(ge=0, le=untrusted.MAX_INTEGER)]
 
@@ -37,8 +42,8 @@
 class UnitRecord(NamedTuple):
     """State of a unit that has been started or is done.
 
-    `failed_run` is the last run of a gang that is counted in `failures`: older rows may
-    list members of it.
+    `failed_run` is the last run of a gang that is counted in `failures`. It is stored
+    as a record of its own in the same row, see `encode`.
     """
 
     run: Count
@@ -97,10 +102,47 @@
 
 
 def encode(record):
-    """Return a record encoded as JSON bytes."""
+    """Return a record encoded as JSON bytes.
+
+    The run of a gang that was charged last, and the failures with it, are one more
+    record among the units of the same row, so that every row which a build has written
+    can be read by the earlier ones.
+
+    >>> unit = UnitRecord(3, failures=2, failed_run=3)
+    >>> encode(UnitRows({"0.0": unit}))
+    b'[{"0.0":[3,false,2,"",[]],"0.0/charged":[3,false,2]}]'
+    """
+    if isinstance(record, Progress | UnitRows):
+        record = record._replace(units=_encodable_units(record.units))
     return msgspec.json.encode(without_trailing_defaults(record))
 
 
+def _encodable_units(units):
+    encodable = {}
+    for key, unit in units.items():
+        encodable[key] = unit[:_UNIT_FIELDS]
+        if unit.failed_run:
+            charge = UnitRecord(unit.failed_run, failures=unit.failures)
+            encodable[key + _CHARGE_SUFFIX] = without_trailing_defaults(charge)
+    return encodable
+
+
+def _decoded_units(stored):
+    """Return the records of units from those of a row, with their charges."""
+    units = {
+        key: unit for key, unit in stored.items() if not key.endswith(_CHARGE_SUFFIX)
+    }
+    for key in stored.keys() - units.keys():
+        unit_key = key.removesuffix(_CHARGE_SUFFIX)
+        if unit_key in units:
+            charge = stored[key]
+            units[unit_key] = units[unit_key]._replace(
+                failures=max(units[unit_key].failures, charge.failures),
+                failed_run=charge.run,
+            )
+    return units
+
+
 def decode(data, kind):
     """Decode a record of type `kind`; raise ValueError if it is invalid."""
     try:
@@ -110,6 +152,8 @@
     error = validation_error(record.spec) if kind is JobRecord else None
     if error:
         raise ValueError(f"{kind.__name__}: {error}")
+    if kind in (Progress, UnitRows):
+        record = record._replace(units=_decoded_units(record.units))
     return record
 
 
--- a/packages/policy/tests/test_gang_attempts.py
+++ b/packages/policy/tests/test_gang_attempts.py
@@ -1,5 +1,8 @@
 """Attempts of gangs: a run that fails counts once, however many members fail in it."""
 
+from typing import NamedTuple
+
+import msgspec
 import pytest
 from graph_bench import Bench, make_workers
 from graph_builders import make_record, make_step
@@ -118,16 +121,73 @@
     assert set(failed_on) == set(unit.failed_on)
 
 
-# Guards against a charge that a row forgets with its last member, while another row may
-# still list members of the charged run.
-def test_charged_run_is_stored_with_every_row():
+class EarlierUnitRecord(NamedTuple):
+    """A unit's record as ae33cb2 reads it."""
+
+    run: int
+    done: bool = False
+    failures: int = 0
+    checkpoint: str = ""
+    places: tuple[tuple[int, str, str], ...] = ()
+
+
+class EarlierUnitRows(NamedTuple):
+    """A row of units as ae33cb2 reads it."""
+
+    units: dict[str, EarlierUnitRecord] = {}
+
+
+# Guards against a charge that the rows forget while an end of the charged run can still
+# be reported, and against rows that earlier builds refuse, as they take a job whose
+# progress they cannot read for one that has not begun.
+def test_charge_is_stored_with_every_row_in_a_form_that_earlier_builds_read():
     bench = make_bench(max_attempts=3)
     bench.stopping_slowly = set(bench.facts)
     (unit,) = bench.scheduler.jobs["a"].units.values()
-    for name, task, run in list_runs(bench):
+    members = list_runs(bench)
+    for number, (name, task, run) in enumerate(members):
         bench.end(name, task, run, runs.FAILED)
         bench.report(name)
-        stored = records.unit_record(unit, unit.placements.values())
-        assert stored.failures == 1
-        assert stored.failed_run == 1
+        record = records.unit_record(unit, unit.placements.values())
+        row = records.encode(records.UnitRows({"0.0": record}))
+        assert records.decode(row, records.UnitRows).units == {"0.0": record}
+        assert (record.failures, record.failed_run) == (1, 1)
+        earlier = msgspec.json.decode(row, type=EarlierUnitRows).units.pop("0.0")
+        assert earlier == tuple(record[:5])
+        assert len(earlier.places) == len(members) - number - 1
     assert not unit.placements
+
+
+def test_row_without_a_charge_is_as_earlier_builds_write_it():
+    bench = make_bench()
+    (unit,) = bench.scheduler.jobs["a"].units.values()
+    record = records.unit_record(unit, unit.placements.values())
+    earlier = EarlierUnitRecord(*record[:5])
+    row = records.encode(records.UnitRows({"0.0": record}))
+    assert row == msgspec.json.encode(EarlierUnitRows({"0.0": earlier}))
+
+
+# Guards against a second attempt that is charged for a run which an earlier build has
+# charged: be1a70d stores the run in a sixth field.
+@pytest.mark.parametrize(
+    ("row", "failures"),
+    [
+        (b'[{"0.0":[2,false,1,"",[[0,"w0","i-w0/1"]],2]}]', 1),
+        (b'[{"0.0":[2,false,1,"",[[0,"w0","i-w0/1"]]]}]', 2),
+    ],
+)
+def test_charge_of_an_earlier_build_is_read(row, failures):
+    units = records.decode(row, records.UnitRows).units
+    run = units["0.0"].run
+    bench = Bench(make_workers())
+    spec = make_record("a", [make_step(3, 2, gang=True)], max_attempts=3)
+    progress = records.Progress("running", True, units=units)
+    bench.scheduler.add_job(spec, progress, 0.0)
+    bench.end("w0", "a.0.0.0", run, runs.FAILED)
+    bench.report("w0")
+    assert bench.scheduler.jobs["a"].units["0.0"].failures == failures
+
+
+def test_charge_without_its_unit_is_passed_over():
+    row = b'[{"0.1":[1,false,0,"",[]],"0.0/charged":[1,false,1]}]'
+    assert set(records.decode(row, records.UnitRows).units) == {"0.1"}
