Infer the charged run from failures that an earlier build has stored

Where as many runs have failed as were started, the last one is among them, so a scheduler of this build that takes over while members of it are left does not charge their ends again.

Evidence: the added case of test_charge_of_an_earlier_build_is_read failed before (2 failures after one run).

--- a/packages/policy/src/samphiredeal/policy/graphs/records.py
+++ b/packages/policy/src/samphiredeal/policy/graphs/records.py
@@ -246,13 +246,22 @@
         unit.done = stored.done
         unit.done_at = now if stored.done else None
         unit.failures = stored.failures
-        unit.failed_run = stored.failed_run
+        unit.failed_run = _charged_run(stored)
         unit.checkpoint = stored.checkpoint
         for place in stored.places:
             placements.append(_restore_placement(unit, place, stored.run, now))
     return job, placements
 
 
+def _charged_run(stored):
+    """Return the last run that is counted in the failures of a `UnitRecord`.
+
+    Earlier builds store it for a short time or not at all. If as many runs have failed
+    as were started, the last one is among them.
+    """
+    return stored.run if stored.failures >= stored.run else stored.failed_run
+
+
 class _Place(NamedTuple):
     name: str
     life: str
--- a/packages/policy/tests/test_gang_attempts.py
+++ b/packages/policy/tests/test_gang_attempts.py
@@ -168,11 +168,12 @@
 
 
 # Guards against a second attempt that is charged for a run which an earlier build has
-# charged: be1a70d stores the run in a sixth field.
+# charged: be1a70d stores the run in a sixth field, ae33cb2 only the failures.
 @pytest.mark.parametrize(
     ("row", "failures"),
     [
         (b'[{"0.0":[2,false,1,"",[[0,"w0","i-w0/1"]],2]}]', 1),
+        (b'[{"0.0":[1,false,1,"",[[0,"w0","i-w0/1"]]]}]', 1),
         (b'[{"0.0":[2,false,1,"",[[0,"w0","i-w0/1"]]]}]', 2),
     ],
 )
