Leave out fields that a later build has added to a row

An entry refused every row with a field more than it knows, so a job of a later build counted as one that has not begun. Unknown fields at the end of a tuple are left out now; any other difference is refused as before.

Evidence: test_added_fields_are_left_out failed before for each of the six records with a field added to each tuple.

--- a/packages/policy/src/samphiredeal/policy/graphs/records.py
+++ b/packages/policy/src/samphiredeal/policy/graphs/records.py
@@ -9,7 +9,7 @@
 import msgspec
 
 from samphiredeal.model import untrusted
-from samphiredeal.model.compact import without_trailing_defaults
+from samphiredeal.model.compact import without_trailing_defaults, without_unknown_fields
 from samphiredeal.model.graph import JobRecord, validation_error
 from samphiredeal.policy.graphs.speeds import Belief
 from samphiredeal.policy.graphs.state import (
@@ -144,9 +144,12 @@
 
 
 def decode(data, kind):
-    """Decode a record of type `kind`; raise ValueError if it is invalid."""
+    """Decode a record of type `kind`; raise ValueError if it is invalid.
+
+    Fields that a later build has added at the end of a tuple are left out.
+    """
     try:
-        record = untrusted.decode_json(data, kind)
+        record = _decode_fields(data, kind)
     except ValueError as error:
         raise ValueError(f"{kind.__name__}: {error}") from error
     error = validation_error(record.spec) if kind is JobRecord else None
@@ -157,6 +160,17 @@
     return record
 
 
+def _decode_fields(data, kind):
+    try:
+        return untrusted.decode_json(data, kind)
+    except ValueError as error:
+        known = without_unknown_fields(untrusted.decode_json(data), kind)
+        try:
+            return msgspec.convert(known, kind)
+        except msgspec.ValidationError:
+            raise error from None
+
+
 def progress_of(job, with_units=True):
     """Return the `Progress` of a job; ended jobs keep only their placements."""
     units = {}
