Pass over stored records that name no unit or no member

Found by fuzzing the rows (test_record_fuzz). A unit's name without a number in front raised an error in the scheduler while it loaded all jobs, so that one odd row stopped the scheduling of every job; an occurrence that a job does not have was opened and run; a member that a gang does not have got a placement, for which a start would be sent. Such records are passed over now, as other builds may store records of other kinds.

Evidence: the test failed before (ValueError from restore, of the name x), and passes 2000 examples.

--- a/packages/policy/src/samphiredeal/policy/graphs/records.py
+++ b/packages/policy/src/samphiredeal/policy/graphs/records.py
@@ -10,7 +10,7 @@
 
 from samphiredeal.model import untrusted
 from samphiredeal.model.compact import without_trailing_defaults, without_unknown_fields
-from samphiredeal.model.graph import JobRecord, validation_error
+from samphiredeal.model.graph import MAX_REPEATS, JobRecord, validation_error
 from samphiredeal.policy.graphs.speeds import Belief
 from samphiredeal.policy.graphs.state import (
     FINAL_STATES,
@@ -22,6 +22,8 @@
 
 # Up to this many finished occurrences are listed one by one, as earlier builds read it.
 _MAX_LISTED_OCCURRENCES = 1000
+# Digits of the largest number of an occurrence.
+_MAX_DIGITS = len(str(MAX_REPEATS))
 # The fields of a `UnitRecord` that earlier builds read. They refuse a row with more.
 _UNIT_FIELDS = 5
 # Ends the key of a gang's charge among the units of a row. Earlier builds pass over a
@@ -252,8 +254,7 @@
     job.ended_at = now if progress.state in FINAL_STATES else None
     job.restore_finished(progress.finished_before, progress.finished_occurrences)
     for key, stored in progress.units.items():
-        job.add_occurrence(int(key.split(".", 1)[0]))
-        unit = job.units.get(key)
+        unit = _open_unit(job, key)
         if unit is None:
             continue
         unit.run = stored.run
@@ -262,11 +263,26 @@
         unit.failures = stored.failures
         unit.failed_run = _charged_run(stored)
         unit.checkpoint = stored.checkpoint
-        for place in stored.places:
-            placements.append(_restore_placement(unit, place, stored.run, now))
+        members = set(unit.indexes)
+        for place in {place.index: place for place in stored.places}.values():
+            if place.index in members:
+                placements.append(_restore_placement(unit, place, stored.run, now))
     return job, placements
 
 
+def _open_unit(job, key):
+    """Return the unit with this name, of an occurrence opened for it, or None.
+
+    Other builds may store records that name no unit of the job.
+    """
+    number = key.partition(".")[0]
+    if not (number.isascii() and number.isdecimal()) or len(number) > _MAX_DIGITS:
+        return None
+    if int(number) < job.record.spec.occurrences:
+        job.add_occurrence(int(number))
+    return job.units.get(key)
+
+
 def _charged_run(stored):
     """Return the last run that is counted in the failures of a `UnitRecord`.
 
