Tests: charges of a run that comes after one that cost no attempt

As many failures as runs say that the last run was charged, so plays that fail in their first run cannot tell whether the charged run is kept. The ends and the script of a play have a second form now, for the next run: a gang or a task is broken, and then fails.

--- a/tests/charge_enumeration.py
+++ b/tests/charge_enumeration.py
@@ -11,6 +11,8 @@
 jobs compete for the room of a write, which takes 20 operations and rows of 1600 bytes;
 the job has 2 attempts, and completes once it runs again. The script: a batch is
 reported, a write stored, and a new scheduler takes over (see `_Stage.play_script`).
+Where the script is played again, a slash divides its first and its second form, and
+that of the ends: `none/all` is a run that costs no attempt, and one that fails.
 
 `run_play` runs it with the production scheduler, records and progress store, in memory
 and beside simulated workers, and returns what was broken, as seen from outside. Some
@@ -73,7 +75,7 @@
 # More single tasks than this take long to play.
 _MAX_TASKS = 40
 ATTEMPTS = (1, 2, 3)
-# What the next runs do: complete, fail whole, or play the script again and complete.
+# What the next runs do: complete, fail whole, or be played as well and then complete.
 THENS = ("complete", "fail", "again")
 # What becomes of writes between reports: none, one, two, all are stored; one is stored
 # without an answer, and composed again or not; one is lost.
@@ -168,8 +170,13 @@
     """Return `most` plays, each drawn once by a seed."""
     rng, drawn = random.Random(f"charges-{seed}"), {}
     while len(drawn) < most:
-        kind, batches = rng.choice(kinds), rng.choice(BATCHES)
+        kind, batches, then = map(rng.choice, (kinds, BATCHES, THENS))
         size, ends, order = map(rng.choice, (SIZES, ENDS, ORDERS))
+        script = _draw_script(rng, kind, _count_scripted(batches))
+        if then == "again" and rng.random() < 0.7:
+            ends = f"{rng.choice(ENDS)}/{rng.choice(ENDS)}"
+            first = "".join(_draw_part(rng) for _ in range(_count_scripted(batches)))
+            script = f"{first}/{script}"
         if kind == "tasks":
             size = min(size, _MAX_TASKS)
         row_bytes = _TASKS_ROW_BYTES if kind == "tasks" else ROW_BYTES
@@ -184,8 +191,8 @@
                 rng.choice(OPERATIONS),
                 rng.choice(row_bytes),
                 rng.choice(ATTEMPTS),
-                rng.choice(THENS),
-                _draw_script(rng, kind, _count_scripted(batches)),
+                then,
+                script,
             )
         ] = None
     return list(drawn)
@@ -359,6 +366,8 @@
         # How members of a run in play will end, and the batches that are left of it.
         self._endings = {}
         self._batches = []
+        # Whether members of it that are stopped end as they will.
+        self._are_stops_answered = False
         self._scripts_played = collections.Counter()
         # By gang: the last run that was started, and those of which a scheduler that
         # could take note of it was told a failure.
@@ -460,8 +469,10 @@
         }
         if scripted:
             self._scripts_played.update(scripted.keys())
-            self._prepare_batches(list(itertools.chain(*scripted.values())))
-            self.play_script()
+            turn = max(self._scripts_played[gang] for gang in scripted)
+            ends = _part(self.play.ends, turn)
+            self._prepare_batches(list(itertools.chain(*scripted.values())), ends)
+            self.play_script(_part(self.play.script, turn))
             return
         how = runs.FAILED if self.play.then == "fail" else runs.DONE
         for gang, members in whole.items():
@@ -498,17 +509,20 @@
         step = int(task.split(".")[2])
         return self._steps[step].shape.accelerators > 0
 
-    def _prepare_batches(self, members):
+    def _prepare_batches(self, members, ends):
         """Decide how and in which batches members end."""
         play = self.play
-        rng = random.Random(f"{play.ends}-{play.order}-{play.size}")
+        rng = random.Random(f"{ends}-{play.order}-{play.size}")
         if play.order == "down":
             members.reverse()
         elif play.order == "shuffled":
             rng.shuffle(members)
-        for (_worker, run), how in zip(members, _endings(play, members), strict=True):
+        for (_worker, run), how in zip(
+            members, _endings(ends, len(members)), strict=True
+        ):
             self._endings[run] = how
-        if play.ends == "answer" and play.kind != "tasks":
+        self._are_stops_answered = ends == "answer"
+        if ends == "answer" and play.kind != "tasks":
             members = _first_of_each_gang(members, _count_scripted(play.batches))
         if play.batches == "worker":
             by_worker = collections.defaultdict(list)
@@ -523,8 +537,8 @@
             # Its members end with the others, but nobody hears of it.
             members[0][0].is_heard = False
 
-    def play_script(self):
-        """Do what the letters of the script say.
+    def play_script(self, script):
+        """Do what the letters of a script say.
 
         b: the next members end, and their workers report; r: all workers report;
         p: the scheduler plans and sends orders; c: it composes a write; a, d, f: that
@@ -543,7 +557,7 @@
             "g": self._give_up,
             "h": self._hear,
         }
-        for letter in self.play.script:
+        for letter in script:
             self.now += _BATCH_S
             if letter in "adf":
                 self._resolve(letter)
@@ -673,7 +687,7 @@
             worker.refuse(run, runs.STOPPED)
         elif run not in self._endings:
             worker.end(run, runs.STOPPED, self._checkpoint)
-        elif self.play.ends == "answer":
+        elif self._are_stops_answered:
             self._end_as_planned(worker, run)
 
     def _compose(self):
@@ -742,18 +756,23 @@
                 self._break(kind, f"{unit.failures} failures of {key}, runs {told}")
 
 
-def _endings(play, members):
+def _part(text, turn):
+    """Return the part of a play's text that holds for the first or second turn."""
+    parts = text.split("/")
+    return parts[min(turn, len(parts)) - 1]
+
+
+def _endings(ends, count):
     """Return how each of some members ends."""
-    count = len(members)
-    if play.ends in ("all", "answer"):
+    if ends in ("all", "answer"):
         return [runs.FAILED] * count
-    if play.ends.startswith("mix"):
-        rng = random.Random(f"{play.ends}-{count}")
+    if ends.startswith("mix"):
+        rng = random.Random(f"{ends}-{count}")
         return rng.choices(_MIXED, k=count)
     hows = [runs.GANG_BROKEN] * count
     failing = {"first": 0, "middle": count // 2, "last": -1}
-    if play.ends in failing:
-        hows[failing[play.ends]] = runs.FAILED
+    if ends in failing:
+        hows[failing[ends]] = runs.FAILED
     return hows
 
 
--- a/tests/test_charge_enumeration.py
+++ b/tests/test_charge_enumeration.py
@@ -37,7 +37,10 @@
 ]
 # The same for single tasks: the head row keeps a task as it was before it had a row of
 # its own, although a write that was not answered has stored that row.
-FOUND_OF_TASKS = ["tasks,32,all,up,2,5,20,2300,2,complete,npbwubwt"]
+FOUND_OF_TASKS = [
+    "tasks,32,all,up,2,5,20,2300,2,complete,npbwubwt",
+    "tasks,32,none/all,up,2,5,20,2300,2,again,bW/npbwubwt",
+]
 # Plays of each kind, also without a takeover, with ends in each form and order.
 OTHERS_FIXED = [
     "gang,2,all,up,1,0,20,65536,1,complete,b",
@@ -49,6 +52,8 @@
     "repeat,32,mix1,up,3,1,20,1000,2,fail,cbatbpubw",
     "checkpoint,96,none,up,2,4,20,2300,1,complete,bwtbwt",
     "given-up,3,all,up,1,4,20,1000,2,complete,bgpWph",
+    "gang,128,none/all,up,1,4,20,1600,2,again,bW/bwt",
+    "two,96,none/last,down,2,4,20,1600,1,again,bpwtb/bwtbwt",
     "given-up,33,last,down,2,4,20,1000,2,fail,bgwtbh",
     "tasks,3,mix2,down,2,3,20,2300,2,fail,bnwttbwt",
 ]
@@ -78,7 +83,7 @@
     drawn = draw_plays(400, 1)
     assert {play.kind for play in drawn} == set(KINDS)
     assert {play.size for play in drawn} == set(SIZES)
-    assert {play.ends for play in drawn} == set(ENDS)
+    assert {end for play in drawn for end in play.ends.split("/")} == set(ENDS)
     assert {play.order for play in drawn} == set(ORDERS)
     assert {play.batches for play in drawn} == set(BATCHES)
     assert {play.others for play in drawn} == set(OTHERS)
@@ -86,7 +91,9 @@
     assert {play.row_bytes for play in drawn} == set(ROW_BYTES)
     assert {play.attempts for play in drawn} == set(ATTEMPTS)
     assert {play.then for play in drawn} == set(THENS)
-    assert {letter for play in drawn for letter in play.script} == set("abcdfghnprtuwW")
+    assert {letter for play in drawn for letter in play.script} == set(
+        "abcdfghnprtuwW/"
+    )
 
 
 def test_plays_are_drawn_by_their_seed():
