--- a/packages/standins/src/samphiredeal/standins/graph_cluster.py
+++ b/packages/standins/src/samphiredeal/standins/graph_cluster.py
@@ -86,7 +86,7 @@
         command = [*self._program, role]
         self._start(name, command, document, SETTINGS_VARIABLE)
 
-    def configure(self, keys=(KEY,), guaranteed=0):
+    def configure(self, keys=(KEY,), guaranteed=0, max_attempts=2):
         """Write the next version of the configuration."""
         self._version += 1
         routes = [
@@ -96,7 +96,7 @@
                 "path-prefix": f"/{name}/",
                 "service": "desk",
                 "priority": priority,
-                "max-attempts": 2,
+                "max-attempts": max_attempts,
                 "stretch": 3.0,
                 "target-latency-ms": 1000,
             }
--- a/packages/standins/src/samphiredeal/standins/graph_worker.py
+++ b/packages/standins/src/samphiredeal/standins/graph_worker.py
@@ -20,10 +20,13 @@
   ``born_offset_ms`` and ``sequence``.
 - ``omit_born``: the lists of runs have no start time for ``seconds``.
 - ``fail_starts``: the next ``count`` runs fail, each ``after_s`` after its start.
+- ``fail_runs``: from now on, all runs numbered up to ``last`` fail, each ``after_s``
+  after its start or up to ``spread_s`` later, which depends on the name of its task.
 """
 
 import collections
 import random
+import zlib
 
 import msgspec
 from twisted.internet import reactor
@@ -119,6 +122,8 @@
         self._history = []
         self._recorded = []
         self._omits_born_until = 0.0
+        self._last_failing_run = 0
+        self._fail_after_s = self._fail_spread_s = 0.0
         self._heartbeats = heartbeats
         self._factory = WrappingFactory(Site(self))
         self._listener = None
@@ -193,6 +198,10 @@
         self.worker.faults.fail_starts = count
         self.worker.faults.fail_after_s = after_s
 
+    def _fault_fail_runs(self, last, after_s, spread_s=0.0):
+        self._last_failing_run = last
+        self._fail_after_s, self._fail_spread_s = after_s, spread_s
+
     # Calls of the agent
 
     async def _answer(self, request):
@@ -217,6 +226,8 @@
 
     async def _start(self, body):
         self._payloads[body["task"]] = body["spec"]
+        if self._last_failing_run:
+            self._set_outcome(body["task"], body["run"])
         order = StartOrder(
             body["task"], body["run"], body["spec"], body.get("checkpoint", "")
         )
@@ -231,6 +242,13 @@
             return 409, {"reason": executor.REFUSAL_REASON_NAMES[answer.reason]}
         return 200, {}
 
+    def _set_outcome(self, task, run):
+        faults = self.worker.faults
+        # A refused start leaves it set; the next start sets it again.
+        faults.fail_starts = int(run <= self._last_failing_run)
+        share = zlib.crc32(task.encode()) % 1000 / 1000
+        faults.fail_after_s = self._fail_after_s + share * self._fail_spread_s
+
     async def _stop(self, body):
         run = RunId(body["task"], body["run"])
         answer = await self.worker.stop(
