Read a single task from its own row, not also from the head row

Callers could see a job shown as failed after one failed run of a single task.

Cause: while a job is being split, the head row keeps each unit as it was last stored until a row of its own is known to be stored. A write that was applied and not answered stores that row; the next one has room for other rows only and writes the head row with the task as before. A new scheduler joined the two records of one run: the failure of the one and the placement of the other. The end, not yet acknowledged, was reported again and charged again.

The row of a single task is never older than what the head row keeps of it, so it is taken as a whole. Members of a gang may still be in the head row alone; each row of a gang names its charge.

Evidence: two plays of the enumeration failed before, both pass; test_charge_enumeration, test_progress_store, test_gang_attempts and test_large_jobs pass.

--- a/packages/policy/src/samphiredeal/policy/graphs/records.py
+++ b/packages/policy/src/samphiredeal/policy/graphs/records.py
@@ -217,13 +217,15 @@
 
     The members of a gang may be in several rows, of which some may be older: a gang
     is started anew only after all its earlier placements are gone. A unit that is in
-    the head row as well is there as it was before it had a row of its own.
+    the head row as well is there as it was before it had a row of its own; of a single
+    task that row says all.
     """
     units = dict(progress.units)
     for row in rows:
         for key, record in row.units.items():
             known = units.get(key)
-            units[key] = record if known is None else _merge(known, record)
+            is_gang = key.count(".") == 1
+            units[key] = _merge(known, record) if known and is_gang else record
     return progress._replace(units=units)
 
 
