Remember which rows cannot be read, and which jobs they hold

A row that could not be decoded was logged and forgotten. The last good version stays known. Nothing is decided by it yet.

The test's messages are cleared after its destination is added, as the first destination of a process is given what was logged before.

--- a/packages/entry/src/samphiredeal/entry/graphs/work.py
+++ b/packages/entry/src/samphiredeal/entry/graphs/work.py
@@ -8,6 +8,9 @@
 ``evicted/NAME`` makes it stop extending its leases; ``place/NAME`` is the address to
 which the scheduler sends its starts; ``entry/NAME`` announces an entry to the others.
 ``speed/NAME`` is what the scheduler believes of the speed of an agent's worker.
+
+Of a row that cannot be decoded the last good version stays known. A job with such a row
+is held (`unreadable_rows`).
 """
 
 from typing import NamedTuple
@@ -15,7 +18,7 @@
 from eliot import write_traceback
 from twisted.internet.defer import Deferred
 
-from samphiredeal.entry.unreadable import log_unreadable_row
+from samphiredeal.entry.graphs.unreadable_rows import UnreadableRows
 from samphiredeal.model import untrusted
 from samphiredeal.model.graph import JobRecord
 from samphiredeal.policy.graphs import records
@@ -79,6 +82,18 @@
     return _SPEED + name
 
 
+def job_of(key):
+    """Return the id of the job without whose row its state is unknown, or ''.
+
+    >>> job_of("units/a1/0.0.0"), job_of("worker/w1")
+    ('a1', '')
+    """
+    prefix, _, name = key.partition("/")
+    if prefix + "/" not in (_JOB, _PROGRESS, _UNITS):
+        return ""
+    return name.partition("/")[0]
+
+
 class EpochRecord(NamedTuple):
     """The holder of the scheduler role; `nonce` distinguishes takeover attempts."""
 
@@ -169,6 +184,7 @@
         self.beat = Versioned(HeartbeatRecord(0, 0), 0)
         self.heartbeat_seen_at = clock.seconds()
         self.heartbeats_seen = 0
+        self.unreadable = UnreadableRows(job_of)
         self._completion_waiters = {}
         self._rows_by_prefix = {
             _JOB: self.jobs,
@@ -189,15 +205,19 @@
             for prefix, entries in self._rows_by_prefix.items():
                 for name in [n for n in entries if prefix + n not in known]:
                     del entries[name]
+            self.unreadable.keep_only(known)
         for row in rows:
+            if self.unreadable.has_version(row):
+                continue
             try:
                 self._apply_row(row)
+                self.unreadable.remove(row.key)
             except ValueError as error:
-                log_unreadable_row(row, error)
+                self.unreadable.add(row, error)
             except Exception as error:
                 # One malformed row must not keep the others from being applied.
                 write_traceback()
-                log_unreadable_row(row, error)
+                self.unreadable.add(row, error)
         self._notify_of_ends()
         self._on_change()
 
@@ -243,6 +263,18 @@
             value = records.decode(row.value, record_type)
             setattr(self, attribute, Versioned(value, row.version))
 
+    def is_held(self, job_id):
+        """Return whether one of a job's rows cannot be read."""
+        return job_id in self.unreadable.held_jobs
+
+    def held_records(self):
+        """Return the last readable `JobRecord`s of the jobs held, or None, by id."""
+        records_by_id = {}
+        for job_id in self.unreadable.held_jobs:
+            stored = self.jobs.get(job_id)
+            records_by_id[job_id] = stored.value if stored else None
+        return records_by_id
+
     def unit_rows_of(self, job_id):
         """Return the `UnitRows` of a job by the names of their rows."""
         prefix = job_id + "/"
--- a/tests/test_unreadable_rows.py
+++ b/tests/test_unreadable_rows.py
@@ -59,6 +59,8 @@
 def messages():
     logged = []
     add_destinations(logged.append)
+    # The first destination gets what was logged before.
+    logged.clear()
     yield logged
     remove_destination(logged.append)
 
