Hold jobs whose rows cannot be read

Such a job is held now. A new scheduler does not load it; one that has it leaves it as it is: nothing of it is planned, started, stopped, counted, stored or deleted, and a conflict with a row that cannot be read raises no version. Runs that agents list of it are not stopped and keep their room by the shape of its last readable record; without one their workers get no new work. Ends are acknowledged up to the first one of a held job. While any job is held, no worker counts as empty, and none is forgotten.

Once all its rows can be read, the job is loaded as at a takeover and the last reports are applied again. A stored start that was not sent and whose room is used is withdrawn.

--- a/packages/entry/src/samphiredeal/entry/graphs/dispatcher.py
+++ b/packages/entry/src/samphiredeal/entry/graphs/dispatcher.py
@@ -85,6 +85,8 @@
         self._delete_at = self._clock.seconds() + _DELETE_INTERVAL_S
         # When a cancel without a job was first seen, by job id.
         self._unmatched_cancels = {}
+        # The revision of the unreadable rows that the scheduler has been told.
+        self._unreadable_revision = None
         self._stopped = False
         self._timer = None
 
@@ -126,15 +128,22 @@
         """Apply new jobs, cancels, workers and operator's rows to the scheduler."""
         now = self._clock.seconds()
         view, scheduler = self._view, self._scheduler
+        is_hold_changed = view.unreadable.revision != self._unreadable_revision
+        released = self._hold_unreadable_jobs() if is_hold_changed else ()
         for job_id, stored in view.jobs.items():
-            if job_id not in scheduler.jobs:
-                scheduler.add_job(stored.value, self._load_progress(job_id), now)
+            if job_id not in scheduler.jobs and not view.is_held(job_id):
+                progress = self._load_progress(job_id)
+                scheduler.add_job(stored.value, progress, now, job_id in released)
                 if job_id not in view.progress:
                     self._log_first_seen(scheduler.jobs[job_id])
         for job_id in [one for one in scheduler.jobs if one not in view.jobs]:
             scheduler.forget_job(job_id)
             self._progress_store.forget(job_id)
             self._completions_logged.discard(job_id)
+        if is_hold_changed:
+            scheduler.sort_unplaced_runs()
+        if released:
+            self._sessions.apply_reports_again()
         for job_id in view.cancels:
             scheduler.cancel_job(job_id, now, view.is_end_stored(job_id))
         for name, stored in view.workers.items():
@@ -149,6 +158,18 @@
         scheduler.guarantees = operations.guarantees
         self.schedule_round()
 
+    def _hold_unreadable_jobs(self):
+        """Hold the jobs whose rows cannot be read; return those held no more.
+
+        What the scheduler knew of the latter is dropped: another one may have written
+        their rows meanwhile.
+        """
+        self._unreadable_revision = self._view.unreadable.revision
+        released = self._scheduler.hold_jobs(self._view.held_records())
+        for job_id in released:
+            self._progress_store.forget(job_id)
+        return released
+
     def _load_progress(self, job_id):
         """Return the stored `Progress` of a job, or None."""
         stored = self._view.progress.get(job_id)
@@ -412,6 +433,9 @@
         log_message(message_type="commit_conflict", key=row.key, version=row.version)
         if row.key == work.EPOCH_KEY:
             self._leadership.step_down("a write was rejected: newer epoch in the store")
+        elif not work.is_readable(row):
+            # It is not ours to overwrite. The view is about to hold its job.
+            self._next_write_at = self._clock.seconds() + _STORE_RETRY_DELAY_S
         elif prefix + "/" == work.cancel_key(""):
             self._handle_cancel_conflict(job_id)
         else:
@@ -455,6 +479,7 @@
             and now - job.ended_at > self._host.state_kept_s
             and not job.has_placements
             and not job.dirty
+            and not job.is_held
         ]
         self._delete([], self._progress_store.keys_to_delete(old))
 
@@ -466,7 +491,9 @@
         known = self._unmatched_cancels
         cancels, jobs = self._view.cancels, self._view.jobs
         self._unmatched_cancels = {
-            job_id: known.get(job_id, now) for job_id in cancels if job_id not in jobs
+            job_id: known.get(job_id, now)
+            for job_id in cancels
+            if job_id not in jobs and not self._view.is_held(job_id)
         }
         old = [
             job_id
--- a/packages/entry/src/samphiredeal/entry/graphs/sessions.py
+++ b/packages/entry/src/samphiredeal/entry/graphs/sessions.py
@@ -141,7 +141,8 @@
             self._fail_if_lease_lapsed(session, now)
             if session.announced_address != session.address:
                 self._move_if_empty(session, now)
-            if session.failed and no_report_s > _REMOVE_AFTER_S:
+            is_old = session.failed and no_report_s > _REMOVE_AFTER_S
+            if is_old and not self._dispatcher.scheduler.held_jobs:
                 self._remove_worker(session)
         self._store_places()
 
@@ -151,10 +152,40 @@
         for session in self._sessions.values():
             report = session.applied_report
             if report is not None and report.worker is not None and report.ended:
-                last = max(ended.number for ended in report.ended)
+                last = self._last_completion(report)
                 completions[session.name] = (report.worker.life, last)
         return completions
 
+    def _last_completion(self, report):
+        """Return the number of the last completion that a report's agent may drop.
+
+        The first one of a held job and those after it are kept: it has not been applied
+        to the job, and a worker forgets what is acknowledged.
+        """
+        last = max(ended.number for ended in report.ended)
+        is_held = self._dispatcher.scheduler.is_held_task
+        kept = [ended.number for ended in report.ended if is_held(ended.task)]
+        return min(kept) - 1 if kept else last
+
+    def apply_reports_again(self):
+        """Apply the last reports to jobs that were held as they came.
+
+        Workers that have failed since run nothing of these jobs any more.
+        """
+        now = self._clock.seconds()
+        for session in self._sessions.values():
+            if session.failed:
+                self._dispatcher.scheduler.mark_worker_failed(
+                    session.name, "no response until its lease had expired"
+                )
+                continue
+            heard_at = session.last_report_at
+            is_recent = heard_at is not None and now - heard_at < UNRESPONSIVE_AFTER_S
+            if is_recent and session.applied_report is not None:
+                self._dispatcher.report_received(session.name, session.applied_report)
+            else:
+                session.applied_report = None
+
     def completions_stored(self, completions):
         """Record that completions are stored, so that agents may discard them."""
         for name, (incarnation, number) in completions.items():
--- a/packages/entry/src/samphiredeal/entry/graphs/work.py
+++ b/packages/entry/src/samphiredeal/entry/graphs/work.py
@@ -94,6 +94,18 @@
     return name.partition("/")[0]
 
 
+def is_readable(row):
+    """Return whether a row can be decoded, if it has a type."""
+    record_type = _RECORD_TYPES.get(row.key.partition("/")[0] + "/")
+    if not record_type or not row.version:
+        return True
+    try:
+        records.decode(row.value, record_type)
+    except ValueError:
+        return False
+    return True
+
+
 class EpochRecord(NamedTuple):
     """The holder of the scheduler role; `nonce` distinguishes takeover attempts."""
 
--- a/packages/policy/src/samphiredeal/policy/graphs/fitting.py
+++ b/packages/policy/src/samphiredeal/policy/graphs/fitting.py
@@ -29,6 +29,7 @@
         worker.reachable
         and not worker.leaving
         and not worker.foreign_runs
+        and not worker.has_unknown_shapes
         and worker.service == unit.job.record.service
         and worker.zone not in state.zones_out
         and (not unit.spec.label or unit.spec.label in worker.labels)
@@ -38,7 +39,10 @@
 
 def _would_interfere(unit, worker):
     """Return whether the unit and the tasks on the worker would interfere."""
-    return any(interferes(unit, p.unit) for p in worker.placements.values())
+    if any(interferes(unit, p.unit) for p in worker.placements.values()):
+        return True
+    steps = worker.held_runs.values()
+    return any(_interferes_with(unit, step) for step in steps if step is not None)
 
 
 def is_sensitive(unit):
@@ -51,9 +55,13 @@
 
     Work that fills unused processors slows tasks with a latency target.
     """
+    return _interferes_with(unit, other.spec)
+
+
+def _interferes_with(unit, step):
     if unit.spec.fills:
-        return bool(other.spec.target_latency_ms)
-    return bool(unit.spec.target_latency_ms) and other.spec.fills
+        return bool(step.target_latency_ms)
+    return bool(unit.spec.target_latency_ms) and step.fills
 
 
 def spread_capacity(unit, worker):
--- a/packages/policy/src/samphiredeal/policy/graphs/reclaim.py
+++ b/packages/policy/src/samphiredeal/policy/graphs/reclaim.py
@@ -77,7 +77,7 @@
     spares_nearly_done = not is_covered or waited_s < _NEARLY_DONE_WAIT_S
 
     def may_preempt(victim, chosen):
-        if victim.done or not may_be_away(victim, chosen):
+        if victim.done or victim.job.is_held or not may_be_away(victim, chosen):
             return False
         if victim.spec.lasting and not (is_covered or victim.spec.fills):
             return False
--- a/packages/policy/src/samphiredeal/policy/graphs/reports.py
+++ b/packages/policy/src/samphiredeal/policy/graphs/reports.py
@@ -3,7 +3,7 @@
 from samphiredeal.model import runs
 from samphiredeal.model.graph import parse_task_name
 from samphiredeal.model.runs import RunId
-from samphiredeal.policy.graphs import health, measuring
+from samphiredeal.policy.graphs import health, holding, measuring
 from samphiredeal.policy.graphs.records import mark_listed
 from samphiredeal.policy.graphs.state import (
     ACTIVE,
@@ -39,22 +39,29 @@
         _apply_completion(scheduler, worker, ended, now, log_entries)
     for refused in report.refused:
         _apply_refusal(scheduler, worker, refused, now, log_entries)
-    _update_foreign_runs(worker, report)
+    _update_unplaced_runs(scheduler, worker, report)
     _resend_orders(worker, report, listed, now)
     return log_entries
 
 
-def _update_foreign_runs(worker, report):
-    """Record the listed runs without a placement here.
+def _update_unplaced_runs(scheduler, worker, report):
+    """Record the listed and pending runs without a placement here.
 
     A report that knows no worker says nothing of the runs that it does not list.
     """
-    found = frozenset(
+    listed = frozenset(
         RunId(running.task, running.run)
         for running in report.running
         if (running.task, running.run) not in worker.placements
     )
-    worker.foreign_runs = found if report.worker else worker.foreign_runs | found
+    if report.worker is None:
+        listed |= worker.unplaced_runs - worker.unplaced_pending
+    pending = frozenset(run for run in report.pending if run not in worker.placements)
+    if report.worker is None:
+        pending |= worker.unplaced_pending
+    worker.unplaced_runs = listed | pending
+    worker.unplaced_pending = pending - listed
+    holding.sort_unplaced_runs(scheduler, worker)
 
 
 def _update_facts(worker, report, now, log_entries):
@@ -192,7 +199,7 @@
 def _adopt(scheduler, worker, task, run, now):
     """Add a placement, to be stopped, for a known task's run that has none here."""
     unit, index = find_unit(scheduler, task)
-    if unit is None:
+    if unit is None or unit.job.is_held:
         return None
     here = unit.placements.get(index)
     if here is not None and here.run >= run:
@@ -210,7 +217,7 @@
 
 def _apply_completion(scheduler, worker, ended, now, log_entries):
     unit, index = find_unit(scheduler, ended.task)
-    if unit is None:
+    if unit is None or unit.job.is_held:
         return
     placement = unit.placements.get(index)
     is_current = placement is not None and placement.run == ended.run
@@ -305,7 +312,7 @@
 
 def _apply_refusal(scheduler, worker, refused, now, log_entries):
     placement = worker.placements.get((refused.task, refused.run))
-    if placement is None:
+    if placement is None or placement.unit.job.is_held:
         return
     log_entries.append(
         (
--- a/packages/policy/src/samphiredeal/policy/graphs/scheduler.py
+++ b/packages/policy/src/samphiredeal/policy/graphs/scheduler.py
@@ -11,6 +11,7 @@
 from samphiredeal.policy.graphs import (
     fitting,
     health,
+    holding,
     measuring,
     ordering,
     reclaim,
@@ -90,6 +91,8 @@
         self._advice_request = None
         # Units of which agents list runs without a placement; None: to be collected.
         self._found_units = None
+        # The `JobRecord`s of held jobs, or None, by id; see `hold_jobs`.
+        self.held_jobs = {}
         # Speeds of the runs of a step, collected once for each plan.
         self._step_speeds = {}
         # Whether urgent work awaits the reports of faster workers, in this plan.
@@ -97,8 +100,11 @@
 
     # Events from the host
 
-    def add_job(self, record, progress, now):
-        """Add an accepted job; `progress` is its stored progress or None."""
+    def add_job(self, record, progress, now, was_held=False):
+        """Add an accepted job; `progress` is its stored progress or None.
+
+        `was_held` tells that its room may have been used meanwhile.
+        """
         if record.id in self.jobs:
             return
         self._found_units = None
@@ -106,10 +112,50 @@
             self.jobs[record.id] = JobState(record)
             return
         job, placements = records.restore(record, progress, now)
+        job.was_held = was_held
         self.jobs[record.id] = job
         for placement in placements:
             self._worker(placement.worker, "").add(placement)
 
+    def hold_jobs(self, records_by_id):
+        """Hold exactly these jobs, of which a row cannot be read.
+
+        `records_by_id` has their last readable `JobRecord`s, or None. Those that were
+        held before are dropped; add them anew by their rows, and then call
+        `sort_unplaced_runs`. Returns the ids of the jobs dropped.
+        """
+        released = self.held_jobs.keys() - records_by_id.keys()
+        self.held_jobs = records_by_id
+        for job_id in released & self.jobs.keys():
+            self._drop_job(self.jobs[job_id])
+        for job_id in records_by_id.keys() & self.jobs.keys():
+            job = self.jobs[job_id]
+            job.is_held = True
+            for unit in job.units.values():
+                if unit.claim:
+                    self._claim(unit, {})
+        return released
+
+    def is_held_task(self, task):
+        """Return whether a task, given by its name, belongs to a held job."""
+        return holding.is_held_task(self, task)
+
+    def sort_unplaced_runs(self):
+        """Look anew at which listed runs belong to held jobs, and which to none."""
+        self._found_units = None
+        for worker in self.workers.values():
+            holding.sort_unplaced_runs(self, worker)
+
+    def _drop_job(self, job):
+        """Drop a job with its placements; its runs are not stopped."""
+        for unit in job.units.values():
+            self._claim(unit, {})
+            for placement in unit.placements.values():
+                worker = self.workers.get(placement.worker)
+                if worker is not None:
+                    worker.remove(placement)
+        self.forget_job(job.id)
+
     def cancel_job(self, job_id, now, is_end_stored=True):
         """Cancel an active job; the next plan stops its runs.
 
@@ -117,7 +163,7 @@
         already have been told that it is.
         """
         job = self.jobs.get(job_id)
-        if job is None or job.state == CANCELLED:
+        if job is None or job.is_held or job.state == CANCELLED:
             return
         if job.active or not is_end_stored:
             job.end(CANCELLED, "cancelled by its caller", now)
@@ -128,7 +174,7 @@
         Starts that are not stored have not been sent, so they are dropped.
         """
         job = self.jobs.get(job_id)
-        if job is None:
+        if job is None or job.is_held:
             return
         if job.active:
             job.end(FAILED, reason, now)
@@ -171,9 +217,12 @@
                 self._log_entries.append(Note(event, fields))
 
     def has_placements_on(self, worker_name):
-        """Return whether a worker may run anything."""
+        """Return whether a worker may run anything.
+
+        Where the runs of held jobs are is not known.
+        """
         worker = self.workers.get(worker_name)
-        return worker is not None and bool(worker.placements)
+        return worker is not None and bool(worker.placements or self.held_jobs)
 
     def mark_worker_unreachable(self, worker_name):
         """Exclude a worker whose agent is unresponsive from new starts."""
@@ -187,7 +236,7 @@
         if worker is not None:
             entries = []
             reporting.remove_all_placements(worker, reason, entries)
-            worker.foreign_runs = frozenset()
+            worker.forget_unplaced_runs()
             self._found_units = None
             worker.life = ""
             worker.reachable = False
@@ -202,7 +251,7 @@
 
     def take_dirty(self):
         """Return the jobs whose progress has changed, and mark them clean."""
-        dirty = [job for job in self.jobs.values() if job.dirty]
+        dirty = [job for job in self.jobs.values() if job.dirty and not job.is_held]
         for job in dirty:
             job.dirty = False
         return dirty
@@ -244,7 +293,7 @@
         for worker in self.workers.values():
             health.drop_expired(worker, now)
         for job in self.jobs.values():
-            if job.active:
+            if job.active and not job.is_held:
                 job.add_due_occurrences(wall_ms)
                 if job.has_changed or not job.units:
                     job.has_changed = False
@@ -283,6 +332,8 @@
         for placement in worker.placements.values():
             if not placement.committed or placement.life != worker.life:
                 continue
+            if placement.unit.job.is_held:
+                continue
             if placement.stopping:
                 last = placement.stop_sent_at
                 if last is None or now - last > _STOP_RETRY_S:
@@ -357,6 +408,8 @@
 
     def _stop_reason(self, placement, now):
         unit = placement.unit
+        if unit.job.is_held:
+            return ""
         if unit.done:
             overdue = now - (unit.done_at or now) > _GANG_EXIT_S
             return "its gang is done" if overdue else ""
@@ -395,8 +448,11 @@
             return ""
         if worker.zone in self.zones_out:
             return "its zone is out of service"
-        if worker.foreign_runs:
+        if worker.foreign_runs or worker.has_unknown_shapes:
             return "an unknown run uses its worker"
+        is_room_lost = not worker.used.fits(worker.capacity)
+        if placement.unit.job.was_held and is_room_lost:
+            return "its room was used while its job could not be read"
         return "its worker is leaving" if worker.leaving else ""
 
     def _is_abnormally_slow(self, placement):
@@ -485,7 +541,7 @@
     def _waiting_units(self, now):
         units = []
         for job in self.jobs.values():
-            if not job.active:
+            if not job.active or job.is_held:
                 continue
             done = {}
             for unit in job.units.values():
--- a/packages/policy/src/samphiredeal/policy/graphs/sooner.py
+++ b/packages/policy/src/samphiredeal/policy/graphs/sooner.py
@@ -162,7 +162,7 @@
     return [
         unit
         for job in jobs
-        if job.active and job.record.advice is None
+        if job.active and not job.is_held and job.record.advice is None
         for unit in job.units.values()
         if _is_resumable(unit)
         and all(
--- a/packages/policy/src/samphiredeal/policy/graphs/state.py
+++ b/packages/policy/src/samphiredeal/policy/graphs/state.py
@@ -32,6 +32,14 @@
 _SPEED_WINDOW_MIN_S = 4.0
 
 
+def demand_of(spec):
+    """Return what one member of a step needs; filling work needs no processors."""
+    shape = spec.shape
+    if spec.fills:
+        return Shape(0, shape.memory_mb, shape.accelerators)
+    return shape
+
+
 class Placement:
     """One member of a unit on one incarnation of a worker."""
 
@@ -192,11 +200,8 @@
 
     @property
     def demand(self):
-        """The resources that one member needs; filling work needs no processors."""
-        shape = self.spec.shape
-        if self.spec.fills:
-            return Shape(0, shape.memory_mb, shape.accelerators)
-        return shape
+        """The resources that one member needs."""
+        return demand_of(self.spec)
 
     @property
     def estimate_s(self):
@@ -236,6 +241,10 @@
         # Work by the estimates that its tasks do in a second on an average worker.
         self.pace = 1.0
         self.ended_at = None
+        # Whether a row of the job cannot be read: nothing of it may change then.
+        self.is_held = False
+        # Whether its rows could not be read at some time since the term began.
+        self.was_held = False
         # Reasons already logged for waiting: {(occurrence, step): set of reasons}.
         self.wait_reasons = {}
         # For the log only; reset in each term of a scheduler.
@@ -403,7 +412,15 @@
         self.polls = 0
         self.reachable = False
         self.placements = {}
+        # Listed or pending runs without a placement here, and those only pending.
+        self.unplaced_runs = frozenset()
+        self.unplaced_pending = frozenset()
+        # Those that are listed, but for held jobs; and those of held jobs, with their
+        # `StepSpec`s if these are known.
         self.foreign_runs = frozenset()
+        self.held_runs = {}
+        # Whether the shape of one of them is not known.
+        self.has_unknown_shapes = False
         self.failures = []
         self.successes = []
         self.stalled_at = None
@@ -418,7 +435,7 @@
 
     @property
     def free(self):
-        """The capacity not used by placements."""
+        """The capacity not used by placements and held runs."""
         return self.capacity.minus(self.used)
 
     def capacity_for(self, unit):
@@ -429,6 +446,24 @@
                 free = free.minus(claiming_unit.demand.times(count))
         return free
 
+    def forget_unplaced_runs(self):
+        """Forget the runs without a placement: none of them is here any more."""
+        self.unplaced_runs = self.unplaced_pending = self.foreign_runs = frozenset()
+        self.set_held_runs({})
+
+    def set_held_runs(self, runs):
+        """Replace the runs of held jobs, and their use of capacity."""
+        if runs == self.held_runs:
+            return
+        for step in self.held_runs.values():
+            if step is not None:
+                self.used = self.used.minus(demand_of(step))
+        for step in runs.values():
+            if step is not None:
+                self.used = self.used.plus(demand_of(step))
+        self.held_runs = runs
+        self.has_unknown_shapes = None in runs.values()
+
     def add(self, placement):
         """Add a placement and its use of capacity."""
         self.placements[(placement.task, placement.run)] = placement
