Tell no state of a job whose progress cannot be read

Such a job was told as queued, or in the state of its last readable row, which a later row may have left behind. A final state that has been read stays told; any other is refused (503) with the row and the reason, and with it another entry is asked, whose build may read the row. It does not count as waiting.

--- a/packages/entry/src/samphiredeal/entry/graphs/call_handler.py
+++ b/packages/entry/src/samphiredeal/entry/graphs/call_handler.py
@@ -12,7 +12,6 @@
 from samphiredeal.entry.graphs.in_doubt import InDoubtCalls
 from samphiredeal.entry.graphs.relayed_states import RelayedStates
 from samphiredeal.entry.graphs.write_resolver import WriteResolver
-from samphiredeal.entry.unreadable import log_unreadable_row
 from samphiredeal.model import answers
 from samphiredeal.model.answers import JobAnswer
 from samphiredeal.model.graph import JobRecord
@@ -299,7 +298,7 @@
             await self._view.wait_until_ended(job_id, wait_s)
         state = self._view.state_of(job_id)
         if state is None:
-            # Accepted by another entry; its row has not been received yet.
+            # Accepted by another entry and not received yet, or not readable.
             return await self._read_state(job_id)
         state = self._relayed_states.furthest(job_id, state)
         return JobAnswer(answers.STATE, state=state)
@@ -320,8 +319,9 @@
             try:
                 state = records.decode(progress.value, records.Progress).state
             except ValueError as error:
-                # Left by another writer; the job has no progress then.
-                log_unreadable_row(progress, error)
+                return _not_done(f"{progress.key} cannot be read: {error}")
+        elif self._view.is_held(job_id):
+            return _not_done(self._view.unreadable.reason_for(job_id))
         if cancel.version and state not in FINAL_STATES:
             state = CANCELLED
         return JobAnswer(answers.STATE, state=state)
--- a/packages/entry/src/samphiredeal/entry/graphs/work.py
+++ b/packages/entry/src/samphiredeal/entry/graphs/work.py
@@ -297,13 +297,19 @@
         }
 
     def state_of(self, job_id):
-        """Return the state of a job as shown to callers, or None if unknown."""
+        """Return the state of a job as shown to callers, or None if unknown.
+
+        Of a job whose progress cannot be read only a final state is known: no later row
+        changes that.
+        """
         if job_id not in self.jobs:
             return None
         stored = self.progress.get(job_id)
         state = stored.value.state if stored else QUEUED
         if state in FINAL_STATES:
             return state
+        if progress_key(job_id) in self.unreadable:
+            return None
         return CANCELLED if job_id in self.cancels else state
 
     def version_of_state(self, job_id):
@@ -351,5 +357,6 @@
         if job_id in self.cancels:
             return False
         if stored is None:
-            return True
+            # Schedulers write no progress of a job before they place something of it.
+            return progress_key(job_id) not in self.unreadable
         return not stored.value.begun and stored.value.state not in FINAL_STATES
