Do not take over beside an epoch or on a heartbeat that cannot be read

An epoch that cannot be read: takeovers were tried with the last readable number, and only the condition on the row kept them off. Nobody tries now, and a scheduler steps down as it sees one.

A heartbeat that cannot be read showed a live scheduler by its version already, but the last readable one went on to hold: after one that said resigned, an entry took over a live scheduler of another build. It holds no more.

--- a/packages/entry/src/samphiredeal/entry/graphs/leadership.py
+++ b/packages/entry/src/samphiredeal/entry/graphs/leadership.py
@@ -131,6 +131,9 @@
         if self._view.epoch.value.number > self._epoch:
             self.step_down("the store holds a newer epoch")
             return
+        if work.EPOCH_KEY in self._view.unreadable:
+            self.step_down("the store holds an epoch that cannot be read")
+            return
         # A heartbeat sent to an unresponsive store would still be awaited after the
         # store has recovered.
         due = self._clock.seconds() >= self._heartbeat_due_at
@@ -199,6 +202,9 @@
     def _takeover_reason(self, now, rows_age_s):
         """Return why to replace the scheduler now, or an empty string."""
         view, no_heartbeat_s = self._view, now - self._no_heartbeat_since
+        if work.EPOCH_KEY in view.unreadable:
+            # Its number is not known, and agents refuse the orders of lower ones.
+            return ""
         if view.epoch.version and view.beat.value.resigned:
             return "it has resigned"
         if view.epoch.version == 0:
--- a/packages/entry/src/samphiredeal/entry/graphs/work.py
+++ b/packages/entry/src/samphiredeal/entry/graphs/work.py
@@ -241,7 +241,7 @@
             if row.version > self.beat.version:
                 self.heartbeat_seen_at = self._clock.seconds()
                 self.heartbeats_seen += 1
-            self._apply_if_newer("beat", HeartbeatRecord, row)
+            self._apply_heartbeat(row)
             return
         prefix, _, name = row.key.partition("/")
         entries = self._rows_by_prefix.get(prefix + "/")
@@ -259,6 +259,17 @@
             untrusted.parse_address(value.address)
         entries[name] = Versioned(value, row.version)
 
+    def _apply_heartbeat(self, row):
+        """Apply a heartbeat; one that cannot be read only shows a live scheduler.
+
+        What the last readable one says, as that its scheduler resigned, does not hold.
+        """
+        try:
+            self._apply_if_newer("beat", HeartbeatRecord, row)
+        except ValueError:
+            self.beat = Versioned(HeartbeatRecord(0, 0), row.version)
+            raise
+
     def _notify_of_ends(self):
         """Fire the waiters for the ends of jobs that have ended.
 
