Leave places and beliefs on speeds that cannot be read as they are

A new scheduler took a worker without a readable place for one to which no start had been sent, used the address that had been announced last and overwrote the row. Nothing is started or stopped there now until the row can be read; then the address that it names is used. Beliefs on the speeds of workers were overwritten, too.

Measured: test_nothing_is_started_on_a_worker_whose_place_cannot_be_read and test_unreadable_speed_of_a_worker_is_not_overwritten failed and pass. With them no case of test_unreadable_rows.py is known red any more.

--- a/packages/entry/src/samphiredeal/entry/graphs/dispatcher.py
+++ b/packages/entry/src/samphiredeal/entry/graphs/dispatcher.py
@@ -330,8 +330,12 @@
             return {}
         taken = len(batch.conditions) + len(batch.puts) + len(batch.deletes)
         room = self._host.table.limits.operations - _OWN_OPERATIONS - taken
-        changed = self._scheduler.speeds.changed()
-        return dict(islice(changed.items(), max(0, min(room, _MAX_SPEEDS_PER_WRITE))))
+        readable = (
+            (name, belief)
+            for name, belief in self._scheduler.speeds.changed().items()
+            if work.speed_key(name) not in self._view.unreadable
+        )
+        return dict(islice(readable, max(0, min(room, _MAX_SPEEDS_PER_WRITE))))
 
     async def _handle_rejected_write(self, batch, answer):
         """Find the job whose rows the store rejects, and end it.
--- a/packages/entry/src/samphiredeal/entry/graphs/sessions.py
+++ b/packages/entry/src/samphiredeal/entry/graphs/sessions.py
@@ -49,6 +49,8 @@
         # Whether the store has `address`, for the next scheduler, and in which version
         # of the row.
         self.is_place_stored = False
+        # Whether the row could not be read as the session began.
+        self.is_place_unknown = False
         self.place_version = 0
         self.link = None
         self.link_opened_at = now
@@ -105,7 +107,9 @@
                 place = self._host.view.places.get(name, stored)
                 session = Session(name, place.value.address, now)
                 session.expired_ms = self._stored_expiry_ms(name)
-                if place is not stored:
+                key = work.place_key(name)
+                session.is_place_unknown = key in self._host.view.unreadable
+                if place is not stored and not session.is_place_unknown:
                     session.is_place_stored = True
                     session.place_version = place.version
                 self._sessions[name] = session
@@ -114,6 +118,8 @@
                 # It listens now. An earlier attempt may have been refused, or hang.
                 session.connecting = False
                 self._connect(session)
+            if session.is_place_unknown:
+                session = self._look_for_place(session, now)
             session.announced_address = stored.value.address
             session.announced_version = stored.version
         self._store_places()
@@ -246,6 +252,24 @@
 
     # Places
 
+    def _look_for_place(self, session, now):
+        """Return the session to use once a place that could not be read can be."""
+        view, name = self._host.view, session.name
+        if work.place_key(name) in view.unreadable:
+            return session
+        session.is_place_unknown = False
+        place = view.places.get(name)
+        if place is None:
+            return session
+        if place.value.address != session.address:
+            self._close_link(session)
+            session = self._sessions[name] = Session(name, place.value.address, now)
+            session.expired_ms = self._stored_expiry_ms(name)
+            self._connect(session)
+        session.is_place_stored = True
+        session.place_version = place.version
+        return session
+
     def _store_places(self):
         """Store the addresses to which starts are sent, unless the store has them.
 
@@ -255,7 +279,11 @@
         """
         if self._storing_places or self._host.is_store_silent():
             return
-        unstored = [s for s in self._sessions.values() if not s.is_place_stored]
+        unstored = [
+            session
+            for session in self._sessions.values()
+            if not session.is_place_stored and not session.is_place_unknown
+        ]
         if unstored:
             self._storing_places = True
             written = self._write_places(unstored[:_MAX_PLACES_PER_WRITE])
