Reach agents by their places if their announcements cannot be read

An entry that had never read an agent's announcement did not connect to it: the agent lost its authority to extend its worker's lease, and the run there was lost. The place, which the last scheduler stored, names its address.

Measured: test_run_goes_on_at_a_worker_whose_announcement_cannot_be_read failed (still told as running after 12 s) and passes.

--- a/packages/entry/src/samphiredeal/entry/graphs/dispatcher.py
+++ b/packages/entry/src/samphiredeal/entry/graphs/dispatcher.py
@@ -152,7 +152,7 @@
                 scheduler.restore_speed(name, view.speeds[name].value.belief)
         # Rows that this scheduler writes later tell it nothing.
         self._workers_seen.update(view.workers)
-        self._sessions.set_workers(view.workers)
+        self._sessions.set_workers(view.workers_to_reach())
         operations = self._host.operations
         scheduler.zones_out = operations.zones_out
         scheduler.guarantees = operations.guarantees
--- a/packages/entry/src/samphiredeal/entry/graphs/sessions.py
+++ b/packages/entry/src/samphiredeal/entry/graphs/sessions.py
@@ -99,17 +99,17 @@
         return all(one.report is not None for one in self._sessions.values())
 
     def set_workers(self, workers):
-        """Open sessions with these agents: {name: `Versioned` `WorkerRecord`}."""
+        """Open sessions with these agents: {name: `Versioned` record with address}."""
         now = self._clock.seconds()
         for name, stored in workers.items():
             session = self._sessions.get(name)
             if session is None:
-                place = self._host.view.places.get(name, stored)
-                session = Session(name, place.value.address, now)
+                place = self._host.view.places.get(name)
+                session = Session(name, (place or stored).value.address, now)
                 session.expired_ms = self._stored_expiry_ms(name)
                 key = work.place_key(name)
                 session.is_place_unknown = key in self._host.view.unreadable
-                if place is not stored and not session.is_place_unknown:
+                if place is not None and not session.is_place_unknown:
                     session.is_place_stored = True
                     session.place_version = place.version
                 self._sessions[name] = session
--- a/packages/entry/src/samphiredeal/entry/graphs/unreadable_rows.py
+++ b/packages/entry/src/samphiredeal/entry/graphs/unreadable_rows.py
@@ -39,6 +39,10 @@
     def __contains__(self, key):
         return key in self._rows
 
+    def names_below(self, prefix):
+        """Return the names of the rows whose keys begin with a prefix."""
+        return [key[len(prefix) :] for key in self._rows if key.startswith(prefix)]
+
     def reason_for(self, job_id):
         """Return why a held job's rows cannot be read."""
         key = min(self._rows_of_jobs[job_id])
--- a/packages/entry/src/samphiredeal/entry/graphs/work.py
+++ b/packages/entry/src/samphiredeal/entry/graphs/work.py
@@ -298,6 +298,20 @@
             records_by_id[job_id] = stored.value if stored else None
         return records_by_id
 
+    def workers_to_reach(self):
+        """Return the agents by name: their announcements, or else their places.
+
+        An agent of which only the place can be read may run something.
+        """
+        names = [
+            name
+            for name in self.unreadable.names_below(_WORKER)
+            if name in self.places and name not in self.workers
+        ]
+        if not names:
+            return self.workers
+        return {**self.workers, **{name: self.places[name] for name in names}}
+
     def unit_rows_of(self, job_id):
         """Return the `UnitRows` of a job by the names of their rows."""
         prefix = job_id + "/"
--- a/tests/test_unreadable_rows.py
+++ b/tests/test_unreadable_rows.py
@@ -8,7 +8,14 @@
 import pytest
 from eliot import add_destinations, remove_destination
 from graph_world import check_invariants, lose_starts, make_graph_world
-from unreadable_rows import HiddenRows, replace_epoch, split_progress, take_over
+from unreadable_rows import (
+    LATER,
+    HiddenRows,
+    announce_unreadably,
+    replace_epoch,
+    split_progress,
+    take_over,
+)
 
 from samphiredeal.entry.graphs import work
 from samphiredeal.model import answers, runs
@@ -360,6 +367,19 @@
     assert world.state(entry, "a1") == "completed"
 
 
+# Its agent would lose its authority to extend the lease, and with it the run.
+def test_run_goes_on_at_a_worker_whose_announcement_cannot_be_read():
+    world = make_graph_world(workers=1)
+    begin_second_step(world)
+    key = work.worker_key("w0")
+    announce_unreadably(world, "w0")
+    take_over(world, [key])
+    world.run(12.0)
+    assert world.table.rows[key].value == LATER
+    assert world.state(live_entry(world), "a1") == "completed"
+    assert ends(world) == ["a1.0.0.0", "a1.0.1.0"]
+
+
 def test_last_readable_configuration_stays_in_force_at_a_takeover():
     world = make_graph_world(guaranteed=8)
     world.operator_table.write([], [Put("config", b'{"version":"next"}')])
--- a/tests/unreadable_rows.py
+++ b/tests/unreadable_rows.py
@@ -47,6 +47,12 @@
     return hidden
 
 
+def announce_unreadably(world, name):
+    """Let an agent announce itself from now on in a form of a later build."""
+    agent = world.nodes[name].process
+    agent._rows = agent._rows._replace(announce_value=LATER)
+
+
 def split_progress(world, job_id):
     """Divide the progress of a job into rows, as that of a large job is."""
     key = work.progress_key(job_id)
