Metric: rows of jobs that cannot be read

samphiredeal_held_rows has a series with row, job and reason for each row for which a job is held, until it is read. Like the other metrics it is fed from the log.

--- a/packages/entry/src/samphiredeal/entry/metrics.py
+++ b/packages/entry/src/samphiredeal/entry/metrics.py
@@ -82,6 +82,14 @@
         self._events = Counter(
             "samphiredeal_events_total", "Log messages", labels, self._registry
         )
+        self._held_rows = Gauge(
+            "samphiredeal_held_rows",
+            "Rows of jobs that cannot be read, for which their jobs are held",
+            labels,
+            self._registry,
+        )
+        # The labels of each such row that is told.
+        self._held_labels = {}
         self._latencies = {
             short: Histogram(
                 f"samphiredeal_{short}_seconds",
@@ -109,10 +117,27 @@
             if field in message:
                 labels[field] = str(message[field])
         self._events.inc(labels)
+        if event == "job_held":
+            self._tell_held_row(message)
+        elif event == "job_released":
+            self._forget_held_row(message["row"])
         if event in _DURATIONS:
             field, unit_s, short = _DURATIONS[event]
             self._latencies[short].observe({}, message[field] * unit_s)
 
+    def _tell_held_row(self, message):
+        self._forget_held_row(message["row"])
+        labels = {field: str(message[field]) for field in ("row", "reason")}
+        # Prometheus keeps the label "job" for itself.
+        labels["job_id"] = str(message["job"])
+        self._held_labels[message["row"]] = labels
+        self._held_rows.set(labels, 1)
+
+    def _forget_held_row(self, row):
+        labels = self._held_labels.pop(row, None)
+        if labels is not None:
+            del self._held_rows.values[labels]
+
     def render(self):
         """Return the metrics in the text format."""
         return text.TextFormatter().marshall(self._registry)
