Hold a job whose rows can be decoded but not used

An error while a scheduler loaded one job's rows ended the loading of all jobs, in each try anew, so that nothing was scheduled. Such a job is held now until the head row of its progress changes, and the others go on.

--- a/packages/entry/src/samphiredeal/entry/graphs/dispatcher.py
+++ b/packages/entry/src/samphiredeal/entry/graphs/dispatcher.py
@@ -6,7 +6,7 @@
 
 from itertools import islice
 
-from eliot import log_message
+from eliot import log_message, write_traceback
 from twisted.internet.defer import ensureDeferred
 from twisted.internet.task import deferLater
 
@@ -130,12 +130,11 @@
         view, scheduler = self._view, self._scheduler
         is_hold_changed = view.unreadable.revision != self._unreadable_revision
         released = self._hold_unreadable_jobs() if is_hold_changed else ()
-        for job_id, stored in view.jobs.items():
+        for job_id in view.jobs:
             if job_id not in scheduler.jobs and not view.is_held(job_id):
-                progress = self._load_progress(job_id)
-                scheduler.add_job(stored.value, progress, now, job_id in released)
-                if job_id not in view.progress:
-                    self._log_first_seen(scheduler.jobs[job_id])
+                self._load_job(job_id, now, job_id in released)
+        if view.unreadable.revision != self._unreadable_revision:
+            self._hold_unreadable_jobs()
         for job_id in [one for one in scheduler.jobs if one not in view.jobs]:
             scheduler.forget_job(job_id)
             self._progress_store.forget(job_id)
@@ -158,6 +157,21 @@
         scheduler.guarantees = operations.guarantees
         self.schedule_round()
 
+    def _load_job(self, job_id, now, was_held):
+        """Add a job by its rows; hold it if these make no sense together."""
+        record = self._view.jobs[job_id].value
+        try:
+            progress = self._load_progress(job_id)
+            self._scheduler.add_job(record, progress, now, was_held)
+        except Exception as error:
+            # One odd job must not keep the others from being scheduled.
+            write_traceback()
+            self._progress_store.forget(job_id)
+            self._view.hold(job_id, error)
+            return
+        if progress is None:
+            self._log_first_seen(self._scheduler.jobs[job_id])
+
     def _hold_unreadable_jobs(self):
         """Hold the jobs whose rows cannot be read; return those held no more.
 
--- a/packages/entry/src/samphiredeal/entry/graphs/work.py
+++ b/packages/entry/src/samphiredeal/entry/graphs/work.py
@@ -21,6 +21,7 @@
 from samphiredeal.entry.graphs.unreadable_rows import UnreadableRows
 from samphiredeal.model import untrusted
 from samphiredeal.model.graph import JobRecord
+from samphiredeal.platform.table import Row
 from samphiredeal.policy.graphs import records
 from samphiredeal.policy.graphs.state import ACTIVE, CANCELLED, FINAL_STATES, QUEUED
 
@@ -290,6 +291,13 @@
         """Return whether one of a job's rows cannot be read."""
         return job_id in self.unreadable.held_jobs
 
+    def hold(self, job_id, error):
+        """Hold a job whose rows can be decoded but not used, until its head changes."""
+        key, rows = progress_key(job_id), self.progress
+        if job_id not in rows:
+            key, rows = job_key(job_id), self.jobs
+        self.unreadable.add(Row(key, rows[job_id].version), error)
+
     def held_records(self):
         """Return the last readable `JobRecord`s of the jobs held, or None, by id."""
         records_by_id = {}
--- a/tests/test_unreadable_rows.py
+++ b/tests/test_unreadable_rows.py
@@ -20,6 +20,7 @@
 from samphiredeal.entry.graphs import work
 from samphiredeal.model import answers, runs
 from samphiredeal.platform.table import Put
+from samphiredeal.policy.graphs import records
 
 STEP = {"count": 1, "cpu": 1000, "mem-mb": 1000, "gpu": 1, "estimated-ms": 1000}
 SECOND = {**STEP, "estimated-ms": 8000, "after": [0]}
@@ -290,6 +291,32 @@
     assert starts(world) == ["a1.0.0.0", "a1.0.1.0"]
 
 
+# An error in one job's rows ended the loading of all jobs, in each try anew.
+def test_job_whose_rows_cannot_be_used_is_held_beside_others(monkeypatch):
+    world = make_graph_world()
+    begin_second_step(world)
+    restore = records.restore
+
+    def fail(record, progress, now):
+        if record.id == "a1":
+            raise KeyError("0.0.0")
+        return restore(record, progress, now)
+
+    monkeypatch.setattr(records, "restore", fail)
+    take_over(world, [])
+    entry = live_entry(world)
+    world.submit(entry, "b1", [STEP])
+    world.run(5.0)
+    assert world.state(entry, "b1") == "completed"
+    assert starts(world) == ["a1.0.0.0", "a1.0.1.0", "b1.0.0.0"]
+    monkeypatch.undo()
+    hidden = HiddenRows(world, ["progress/a1"])
+    hidden.show()
+    world.run(8.0)
+    assert world.state(entry, "a1") == "completed"
+    assert ends(world, runs.STOPPED) == []
+
+
 def test_held_job_is_logged_once_with_its_row_and_reason(messages):
     world = make_graph_world()
     begin_second_step(world)
