Give no new work to a worker whose list of ends fills up behind a held one

A worker forgets the ends up to a number, so that an end of a held job keeps all later ones in its list, which names 500. Beyond 350 the worker gets no new work; otherwise its further ends would not be known before the job is released.

Further tests: a random walk of hidden and shown rows, lost schedulers, restarted agents and lost history; accepted work while no configuration can be read.

--- a/packages/policy/src/samphiredeal/policy/graphs/fitting.py
+++ b/packages/policy/src/samphiredeal/policy/graphs/fitting.py
@@ -30,6 +30,7 @@
         and not worker.leaving
         and not worker.foreign_runs
         and not worker.has_unknown_shapes
+        and not worker.has_long_list
         and worker.service == unit.job.record.service
         and worker.zone not in state.zones_out
         and (not unit.spec.label or unit.spec.label in worker.labels)
--- a/packages/policy/src/samphiredeal/policy/graphs/holding.py
+++ b/packages/policy/src/samphiredeal/policy/graphs/holding.py
@@ -1,11 +1,15 @@
 """Jobs of which a stored row cannot be read: nothing of them is started or stopped.
 
 What they have done and where they run is not known. Runs that agents list of them keep
-their room; if not even the shape of a run is known, its worker gets no new work.
+their room; if not even the shape of a run is known, its worker gets no new work. Their
+ends stay listed, as a worker forgets the ends that are recorded.
 """
 
 from samphiredeal.model.graph import parse_task_name
 
+# A worker lists 500 ends. Those of the runs that it has already must find room there.
+_MAX_LISTED_ENDS = 350
+
 
 def is_held_task(scheduler, task):
     """Return whether a task, given by its name, belongs to a held job."""
@@ -32,6 +36,17 @@
     worker.set_held_runs(held)
 
 
+def check_list(scheduler, worker, report):
+    """Give a worker no new work while held ends fill the list of its ends.
+
+    Ends that are not listed would be known only once the held ones are recorded.
+    """
+    is_long = len(report.ended) > _MAX_LISTED_ENDS
+    worker.has_long_list = is_long and any(
+        is_held_task(scheduler, ended.task) for ended in report.ended
+    )
+
+
 def _step_of(scheduler, run):
     """Return the `StepSpec` of a held run, or None if its job cannot be read."""
     name = parse_task_name(run.task)
--- a/packages/policy/src/samphiredeal/policy/graphs/reports.py
+++ b/packages/policy/src/samphiredeal/policy/graphs/reports.py
@@ -40,6 +40,7 @@
     for refused in report.refused:
         _apply_refusal(scheduler, worker, refused, now, log_entries)
     _update_unplaced_runs(scheduler, worker, report)
+    holding.check_list(scheduler, worker, report)
     _resend_orders(worker, report, listed, now)
     return log_entries
 
--- a/packages/policy/src/samphiredeal/policy/graphs/state.py
+++ b/packages/policy/src/samphiredeal/policy/graphs/state.py
@@ -421,6 +421,9 @@
         self.held_runs = {}
         # Whether the shape of one of them is not known.
         self.has_unknown_shapes = False
+        # Whether its list of ends may soon be too long to name further ones, as those
+        # of a held job stay in it.
+        self.has_long_list = False
         self.failures = []
         self.successes = []
         self.stalled_at = None
--- a/packages/policy/tests/test_held_jobs.py
+++ b/packages/policy/tests/test_held_jobs.py
@@ -128,3 +128,17 @@
     assert bench.state("a") == "completed"
     bench.step(0.5)
     assert bench.places("c") == ["w0"]
+
+
+# Ends beyond the 500 that a worker lists would not be known before the job is released.
+def test_worker_whose_list_fills_up_behind_a_held_end_gets_no_new_work():
+    bench = make_bench(2)
+    bench.end_all("a")
+    for number in range(400):
+        bench.end("w0", f"z.0.0.{number}", 1)
+    bench.add(make_record("b", [make_step(4, 4)]))
+    bench.step(0.5).step(0.5)
+    assert bench.places("b") == ["w1", "w1"]
+    release(bench, progress())
+    bench.step(0.5)
+    assert bench.places("b") == ["w0", "w0", "w1", "w1"]
--- a/tests/test_unreadable_rows.py
+++ b/tests/test_unreadable_rows.py
@@ -5,6 +5,8 @@
 a finished task again.
 """
 
+import random
+
 import pytest
 from eliot import add_destinations, remove_destination
 from graph_world import check_invariants, lose_starts, make_graph_world
@@ -418,3 +420,62 @@
     assert world.submit(entry, "a1", [STEP]).kind == answers.ACCEPTED
     world.run(4.0)
     assert world.state(entry, "a1") == "completed"
+
+
+# Entries that have never read a configuration accept nothing, and go on with what is.
+def test_accepted_work_goes_on_while_no_configuration_can_be_read():
+    world = make_graph_world()
+    begin_second_step(world)
+    good = world.operator_table.rows["config"].value
+    world.operator_table.write([], [Put("config", b'{"version":"next"}')])
+    take_over(world, [])
+    entry = live_entry(world)
+    assert world.submit(entry, "b1", [STEP]).kind == answers.NOT_DONE
+    world.run(9.0)
+    assert ends(world) == ["a1.0.0.0", "a1.0.1.0"]
+    world.operator_table.write([], [Put("config", good)])
+    world.run(1.0)
+    assert world.state(entry, "a1") == "completed"
+    assert world.submit(entry, "b1", [STEP]).kind == answers.ACCEPTED
+
+
+@pytest.mark.parametrize("seed", range(8))
+def test_no_task_is_done_twice_whatever_rows_are_hidden(seed):
+    world = make_graph_world(seed=seed)
+    chance = random.Random(seed)
+    gang = {**STEP, "count": 3, "gang": True, "gpu": 2, "estimated-ms": 5000}
+    jobs = [f"a{number}" for number in range(8)]
+    hidden = []
+    for number, job_id in enumerate(jobs):
+        steps = [[STEP, SECOND], [gang], [{**STEP, "count": 4}, SECOND]][number % 3]
+        world.submit(live_entry(world), job_id, steps)
+        for _ in range(2):
+            world.run(chance.uniform(0.2, 2.0))
+            event = chance.choice(["hide", "hide", "show", "kill", "agent", "forget"])
+            if event == "hide":
+                row = chance.choice(["job", "progress"])
+                key = f"{row}/{chance.choice(jobs[: number + 1])}"
+                if key in world.table.rows and world.table.rows[key].value != LATER:
+                    hidden.append(HiddenRows(world, [key]))
+            elif event == "show" and hidden:
+                hidden.pop(chance.randrange(len(hidden))).show()
+            elif event == "kill":
+                scheduler = world.scheduler()
+                world.kill(scheduler)
+                world.restart(scheduler)
+                world.run_until(world.scheduler, 10.0)
+            elif event == "agent":
+                name = chance.choice(["w0", "w1", "w2", "w3"])
+                world.kill(name)
+                world.restart(name)
+            else:
+                world.table.forget_history()
+    world.run(8.0)
+    for one in hidden:
+        one.show()
+    world.run(40.0)
+    entry = live_entry(world)
+    assert {world.state(entry, job_id) for job_id in jobs} == {"completed"}
+    done = sorted(ends(world, runs.DONE))
+    assert done == sorted(set(done))
+    check_invariants(world)
