--- a/tests/test_unreadable_rows.py
+++ b/tests/test_unreadable_rows.py
@@ -1,6 +1,6 @@
 """Jobs whose rows the scheduler cannot read.
 
-Guards against TWICE (inc-old-build): a scheduler of an earlier build took a job whose
+Guards against TWICE (issue 58): a scheduler of an earlier build took a job whose
 progress row it could not decode for one that had not begun, stopped its run and started
 a finished task again.
 """
