--- a/packages/platform/src/samphiredeal/platform/memory_worker.py
+++ b/packages/platform/src/samphiredeal/platform/memory_worker.py
@@ -40,7 +40,8 @@
     `lose_polls` that of polls; `late_s` delays calls, which are then not answered. A
     worker that is `down` refuses connections. With `hang`, new runs make no progress;
     with `fail_all` they fail as they end. The next `fail_starts` runs fail, each
-    `fail_after_s` after its start or as another such member of its gang does.
+    `fail_after_s` after its start or as another such member of its gang does; with
+    `fail_job`, only runs of that job.
     """
 
     def __init__(self):
@@ -51,11 +52,12 @@
         self.hang = False
         self.fail_all = False
         self.fail_starts = 0
+        self.fail_job = ""
         self.fail_after_s = 0.1
 
-    def fails_start(self):
-        """Return whether the run that starts now fails, and count it if so."""
-        if self.fail_starts <= 0:
+    def fails_start(self, task):
+        """Return whether the run of a task that starts now fails; count it if so."""
+        if self.fail_starts <= 0 or self.fail_job not in ("", task.split(".")[0]):
             return False
         self.fail_starts -= 1
         return True
@@ -96,7 +98,7 @@
         self.run = run
         self.work = work
         self.base_s = float(checkpoint) if checkpoint else 0.0
-        self.fails = worker.faults.fails_start()
+        self.fails = worker.faults.fails_start(name)
         self.began_at = None
         self.timer = None
         self.ended = False
--- a/packages/standins/src/samphiredeal/standins/graph_worker.py
+++ b/packages/standins/src/samphiredeal/standins/graph_worker.py
@@ -19,7 +19,8 @@
 - ``foreign_heartbeat``: another writer sends a heartbeat with ``id``,
   ``born_offset_ms`` and ``sequence``.
 - ``omit_born``: the lists of runs have no start time for ``seconds``.
-- ``fail_starts``: the next ``count`` runs fail, each ``after_s`` after its start.
+- ``fail_starts``: the next ``count`` runs fail, each ``after_s`` after its start; with
+  ``job``, those of its tasks.
 - ``fail_runs``: from now on, all runs numbered up to ``last`` fail, each ``after_s``
   after its start or up to ``spread_s`` later, which depends on the name of its task.
 """
@@ -194,8 +195,9 @@
     def _fault_omit_born(self, seconds):
         self._omits_born_until = reactor.seconds() + seconds
 
-    def _fault_fail_starts(self, count, after_s):
+    def _fault_fail_starts(self, count, after_s, job=""):
         self.worker.faults.fail_starts = count
+        self.worker.faults.fail_job = job
         self.worker.faults.fail_after_s = after_s
 
     def _fault_fail_runs(self, last, after_s, spread_s=0.0):
