make upgrade: the last landing from history, and a rolling replacement

A fifth check replaces the processes one at a time, forward, back and forward again, with jobs of all kinds at work, and moves the scheduler by SIGTERM, SIGKILL and SIGSTOP in an order by SEED. What callers were told and workers ran is checked as in the soak; a run number that a task uses twice is a fault too.

The cluster moved out of upgrade.py. Logs of a check that fails are kept.

--- a/Makefile
+++ b/Makefile
@@ -26,7 +26,8 @@
 	$(PYTHON) -m samphiredeal.standins.soak $(SEED)
 
 upgrade: $(READY)
-	$(PYTHON) -m samphiredeal.standins.upgrade $(OTHER)
+	$(PYTHON) -m samphiredeal.standins.upgrade $(OTHER) --seed $(SEED) \
+		$(if $(LANDING),--landing $(LANDING))
 
 lint: $(READY)
 	$(VENV)/bin/ruff check .
--- a/packages/standins/src/samphiredeal/standins/graph_cluster.py
+++ b/packages/standins/src/samphiredeal/standins/graph_cluster.py
@@ -8,6 +8,7 @@
 import json
 import os
 import urllib.error
+import urllib.parse
 import urllib.request
 from typing import NamedTuple
 
@@ -115,6 +116,13 @@
         url = self.url_of("platform") + "/api/rows-tx"
         return _call(url, "POST", body)
 
+    def row_keys(self, prefix):
+        """Return the keys of the system's rows, up to 500, that have a prefix."""
+        path = f"/api/rows-get?table=samphiredeal&from={urllib.parse.quote(prefix)}"
+        reply = _call(self.url_of("platform") + path, "GET")
+        keys = [row["key"] for row in reply.document.get("rows", ())]
+        return [key for key in keys if key.startswith(prefix)]
+
     def call(self, entry, verb, path, document=None, key=KEY):
         """Make a caller's call; return the `Reply`."""
         url = f"http://{HOST}:{self._caller_ports[entry]}{path}"
--- a/packages/standins/src/samphiredeal/standins/upgrade.py
+++ b/packages/standins/src/samphiredeal/standins/upgrade.py
@@ -1,22 +1,25 @@
-"""Compatibility with another build: ``python -m samphiredeal.standins.upgrade FILE``.
-
-Runs this build and another one, FILE, such as the binary of the last release, on the
-stand-in platform, in both directions:
-
-- all processes of one build are stopped and replaced by the other, which takes over
-  the settings, the rows, and the completed, running and waiting jobs;
-- entries and agents of both builds run side by side, and the scheduler moves between
-  the entries by graceful shutdown and by SIGKILL;
-- the entries of the older interface are replaced, with a configuration, a claimed
-  request key and a running gang in the store;
-- the steps of `samphiredeal.standins.demo` run on entries and agents of both builds.
+"""Compatibility with another build: ``python -m samphiredeal.standins.upgrade [FILE]``.
+
+Runs this build and another one on the stand-in platform, in both directions. The other
+one is FILE, such as the binary of the last release, or an earlier landing, built from
+the history of the repository; see `landings`.
+
+- All processes of one build are stopped and replaced by the other, which takes over
+  the settings, the rows, and the completed, running and waiting jobs.
+- Entries and agents of both builds run side by side, and the scheduler moves between
+  the entries by graceful shutdown and by SIGKILL.
+- The entries of the older interface are replaced, with a configuration, a claimed
+  request key and a running gang in the store.
+- The steps of `samphiredeal.standins.demo` run on entries and agents of both builds.
+- Processes are replaced one at a time, forward, back and forward again, with jobs of
+  all kinds at work; see `upgrade_roll`.
 
 Exit status 1 if a job is lost, a task runs twice, or a step fails.
 """
 
-import collections
 import itertools
 import os
+import shutil
 import signal
 import sys
 import tempfile
@@ -24,102 +27,21 @@
 import defopt
 
 from samphiredeal.cli.client import call
-from samphiredeal.standins import demo
-from samphiredeal.standins.graph_cluster import GraphCluster
+from samphiredeal.standins import demo, landings, upgrade_roll
 from samphiredeal.standins.launch import wait_for
+from samphiredeal.standins.upgrade_cluster import (
+    THIS_BUILD,
+    TIMEOUT_S,
+    WORKERS,
+    MixedCluster,
+)
 
-THIS_BUILD = (sys.executable, "-m", "samphiredeal.cli.main")
-WORKERS = 3
-_TIMEOUT_S = 60
 _TASK = {"cpu": 1000, "mem-mb": 1000, "gpu": 8, "estimated-ms": 3000}
 # One task fills a worker, so that a second job waits while the first one runs.
 _SHORT = {"spec": "0.5", "steps": [{**_TASK, "count": WORKERS, "estimated-ms": 500}]}
 _LONG = {"spec": "4.0", "steps": [{**_TASK, "count": WORKERS, "estimated-ms": 4000}]}
 
 
-class MixedCluster(GraphCluster):
-    """A cluster in which each process runs a program of its own."""
-
-    def __init__(self, folder, program_of):
-        super().__init__(folder, list(THIS_BUILD))
-        self.program_of = program_of
-
-    def _start(self, name, command, document, environment=None):
-        length = len(self._program)
-        if command[:length] == self._program:
-            command = [*self.program_of(name), *command[length:]]
-        super()._start(name, command, document, environment)
-
-    def start_all(self):
-        """Start the stand-ins, two entries and three workers with their agents."""
-        self.start_standin("platform", "platform")
-        self.configure()
-        for number in range(2):
-            self.start_graph_entry(f"entry-{number}", f"zone-{number}")
-        for number in range(WORKERS):
-            self.start_graph_worker(f"worker-{number}", f"zone-{number % 2}")
-        self.wait_until_ready()
-
-    def stop_gracefully(self, names):
-        """Stop processes with SIGTERM; raise `AssertionError` on another status."""
-        for name in names:
-            self.signal(name, signal.SIGTERM)
-        for name in names:
-            status = self.wait(name)
-            assert status == 0, f"{name} exits with {status} after SIGTERM"
-
-    def submit(self, job_id, document):
-        """Submit a job and wait until it is accepted."""
-
-        def accepted():
-            path = f"/normal/{job_id}"
-            return self.call(self.entries[0], "POST", path, document).status == 200
-
-        wait_for(accepted, _TIMEOUT_S, f"job {job_id} is accepted")
-
-    def wait_for_state(self, job_id, state):
-        """Wait until every entry reports a state of a job."""
-        for entry in self.entries:
-
-            def reached(entry=entry):
-                reply = self.call(entry, "GET", f"/normal/{job_id}")
-                return reply.document.get("state") == state
-
-            wait_for(reached, _TIMEOUT_S, f"job {job_id} is {state} at {entry}")
-
-    def check_runs(self):
-        """Raise `AssertionError` if a task has run twice; return the starts."""
-        events = [
-            event
-            for number in range(WORKERS)
-            for event in self.history(f"worker-{number}")
-        ]
-        faults = faults_of(events)
-        assert not faults, "; ".join(faults)
-        return sum(kind == "start" for _, kind, *_ in events)
-
-
-def faults_of(events):
-    """Return what the starts and ends of runs on workers show to be wrong.
-
-    Events are (time, ``start`` or ``end``, task, run, how it ended). A task that two
-    runs execute at the same time, or that completes twice, is a fault.
-    """
-    faults, running = [], collections.defaultdict(set)
-    completed = collections.Counter()
-    for _, kind, task, run, how in sorted(events, key=lambda event: event[:2]):
-        if kind == "start":
-            running[task].add(run)
-            if len(running[task]) > 1:
-                faults.append(f"{task} is executed by runs {sorted(running[task])}")
-            continue
-        running[task].discard(run)
-        completed[task] += how == "done"
-    return faults + [
-        f"{task} completed twice" for task in completed if completed[task] > 1
-    ]
-
-
 def replace_all(folder, before, after):
     """Replace every process of one build by the other, with jobs in all states."""
     cluster = MixedCluster(folder, lambda name: before)
@@ -161,11 +83,7 @@
             cluster.signal(before, number)
             status = cluster.wait(before)
             assert number == signal.SIGKILL or status == 0, f"{before}: {status}"
-            after = wait_for(
-                lambda b=before: cluster.scheduler() != b and cluster.scheduler(),
-                _TIMEOUT_S,
-                f"an entry takes over from {before}",
-            )
+            after = cluster.wait_for_takeover(before)
             cluster.start_again(before)
             cluster.wait_until_ready()
             cluster.wait_for_state(job_id, "completed")
@@ -197,16 +115,16 @@
         answer = demo.request(url, "hall", key="deposit-1", body=b"a deposit")
         gang = {"id": "photo-run", "account": "guest", "members": 2, "accelerators": 4}
         call(url, "POST", "/v1/jobs", {**gang, "cpu_milli": 4000, "command": "sleep 8"})
-        wait_for(lambda: demo.is_running(url, "photo-run"), _TIMEOUT_S, "the gang runs")
+        wait_for(lambda: demo.is_running(url, "photo-run"), TIMEOUT_S, "the gang runs")
         entries = list(cluster.entry_urls)
         cluster.stop_gracefully(entries)
         cluster.program_of = lambda name: after
         for name in entries:
             cluster.restart(name)
-        wait_for(lambda: _is_in_force(url), _TIMEOUT_S, "the configuration is in force")
+        wait_for(lambda: _is_in_force(url), TIMEOUT_S, "the configuration is in force")
         wait_for(
             lambda: demo.job_state(url, "photo-run")[0] == "done",
-            _TIMEOUT_S,
+            TIMEOUT_S,
             "the gang is done",
         )
         again = demo.request(url, "hall", key="deposit-1", body=b"a deposit")
@@ -233,27 +151,44 @@
 
 
 def check(program, checks=CHECKS):
-    """Run checks of this build beside another, a command; return the exit status."""
+    """Run checks of this build beside another, a command; return the exit status.
+
+    The logs of a check that fails stay in the folder that is printed.
+    """
     failed = 0
     builds = {"other": tuple(program), "this": THIS_BUILD}
     for run, names in itertools.product(checks, itertools.permutations(builds)):
         title = f"{run.__name__:15} {names[0]:5} then {names[1]:5}"
-        with tempfile.TemporaryDirectory() as folder:
-            try:
-                result = run(folder, *(builds[name] for name in names))
-                print(f"{title} {result}", flush=True)
-            except (AssertionError, TimeoutError) as error:
-                failed += 1
-                print(f"{title} FAILED {error}", flush=True)
+        folder = tempfile.mkdtemp()
+        try:
+            result = run(folder, *(builds[name] for name in names))
+            print(f"{title} {result}", flush=True)
+            shutil.rmtree(folder)
+        except (AssertionError, TimeoutError) as error:
+            failed += 1
+            print(f"{title} FAILED {error}; logs in {folder}", flush=True)
     return 1 if failed else 0
 
 
-def main(program: str):
+def rolling(seed):
+    """Return the check that replaces processes in turn; see `upgrade_roll`."""
+
+    def roll(folder, first, second):
+        return upgrade_roll.roll(folder, first, second, seed)
+
+    return roll
+
+
+def main(program: str = "", *, landing: str = landings.LANDINGS[0], seed: int = 1):
     """Check this build beside another one.
 
-    :param program: path of the other build's program, such as dist/samphiredeal
+    :param program: path of the other build's program, such as dist/samphiredeal;
+        without it, an earlier landing is built from the history of the repository
+    :param landing: the commit of that landing, by default the last one
+    :param seed: determines the order in which processes are replaced in turn
     """
-    return check([os.path.abspath(program)])
+    other = [os.path.abspath(program)] if program else landings.build(landing)
+    return check(other, (*CHECKS, rolling(seed)))
 
 
 if __name__ == "__main__":
