--- a/packages/standins/src/samphiredeal/standins/upgrade_cluster.py
+++ b/packages/standins/src/samphiredeal/standins/upgrade_cluster.py
@@ -8,12 +8,14 @@
 import signal
 import sys
 
-from samphiredeal.standins.graph_cluster import GraphCluster
+from samphiredeal.standins.graph_cluster import BOUNDS, GraphCluster
 from samphiredeal.standins.launch import wait_for
 
 THIS_BUILD = (sys.executable, "-m", "samphiredeal.cli.main")
 WORKERS = 3
 TIMEOUT_S = 60
+# States of ended jobs are asked for until the end of a play.
+_BOUNDS = {**BOUNDS, "status_s": 3600}
 
 
 class MixedCluster(GraphCluster):
@@ -23,6 +25,9 @@
         super().__init__(folder, list(THIS_BUILD))
         self.program_of = program_of
 
+    def _start_on_platform(self, name, role, zone, extra):
+        super()._start_on_platform(name, role, zone, {**extra, "bounds": _BOUNDS})
+
     def _start(self, name, command, document, environment=None):
         length = len(self._program)
         if command[:length] == self._program:
