--- a/packages/standins/src/samphiredeal/standins/upgrade_roll.py
+++ b/packages/standins/src/samphiredeal/standins/upgrade_roll.py
@@ -17,70 +17,18 @@
 import random
 import signal
 import time
-from typing import NamedTuple
 
 from samphiredeal.model import runs
-from samphiredeal.standins import soak_checks
+from samphiredeal.standins import soak_checks, upgrade_jobs
 from samphiredeal.standins.launch import STARTUP_TIMEOUT_S, wait_for
 from samphiredeal.standins.soak_calls import StateAsker, clock
 from samphiredeal.standins.upgrade_cluster import TIMEOUT_S, MixedCluster, faults_of
 
 ENTRIES = 3
 WORKERS = 4
-MEMBERS = 3
 # Each failed run of a gang uses up as many as it has members, by the earliest builds.
-_ATTEMPTS = 4 * MEMBERS
+_ATTEMPTS = 4 * upgrade_jobs.MEMBERS
 _FAILS_AFTER_S = 1.0
-_SIGNALS = (signal.SIGTERM, signal.SIGKILL, signal.SIGSTOP)
-_STEP = {"count": 3, "cpu": 1000, "mem-mb": 1000, "gpu": 1}
-# The members are on workers of their own. They run for long enough that none is done
-# before the scheduler hears that another one has failed.
-_GANG = {**_STEP, "count": MEMBERS, "gang": True, "gpu": 4, "anti-affinity": 1}
-# More tasks than fit into one row.
-_LARGE = {"count": 1000, "cpu": 10, "mem-mb": 10, "gpu": 0}
-
-GANG, LARGE, RUNNING, WAITING, LASTING = "a", "b", "c", "d", "e"
-REPEATED, SMALL = "f", "1"
-
-
-def make_job(kind, now_ms=0):
-    """Return the document of a job; the ids of jobs of a kind begin with it."""
-    return {
-        GANG: lambda: _job(6.0, _GANG),
-        LARGE: lambda: _job(5.0, _LARGE, {**_LARGE, "after": [0]}),
-        RUNNING: lambda: _job(60.0, _STEP),
-        WAITING: lambda: _job(1.0, {**_STEP, "requirements": "nowhere"}),
-        LASTING: lambda: _job(600.0, {**_STEP, "count": 1, "long-running": True}),
-        REPEATED: lambda: {
-            **_job(0.8, _STEP),
-            "repetitions": 8,
-            "start-at-ms": now_ms,
-            "interval-ms": 1500,
-        },
-        SMALL: lambda: _job(1.5, _STEP, {**_STEP, "after": [0]}),
-    }[kind]()
-
-
-def _job(seconds, *steps):
-    estimate = {"estimated-ms": int(seconds * 1000)}
-    return {"spec": str(seconds), "steps": [{**step, **estimate} for step in steps]}
-
-
-class Step(NamedTuple):
-    """A step of a pass: the name of a method of `Roll`, and its arguments."""
-
-    act: str
-    arguments: tuple = ()
-
-
-def plan_pass(chosen, names, number):
-    """Return the steps of a pass in an order drawn from `chosen`; see `Roll`."""
-    steps = [Step("replace", (name,)) for name in names]
-    steps += [Step("move", (each,)) for each in _SIGNALS]
-    steps += [Step("cancel", (f"{kind}{number}",)) for kind in (RUNNING, WAITING)]
-    steps += [Step("submit", (REPEATED, number)), Step("submit_large", (number,))]
-    steps += [Step("fail_gang", (number,)), Step("cancel_ended")]
-    return chosen.sample(steps, len(steps))
 
 
 class Roll:
@@ -106,15 +54,15 @@
     def play_pass(self, number, program):
         """Replace all processes by a program, with jobs at work."""
         cluster = self._cluster
-        for kind in (RUNNING, WAITING, LASTING):
+        for kind in (upgrade_jobs.RUNNING, upgrade_jobs.WAITING, upgrade_jobs.LASTING):
             self.submit(kind, number)
         names = [*cluster.entries, *(f"agent-{name}" for name in cluster.workers)]
         before, replaced = cluster.program_of, set()
         cluster.program_of = lambda name: program if name in replaced else before(name)
-        for act, arguments in plan_pass(self._random, names, number):
+        for act, arguments in upgrade_jobs.plan_pass(self._random, names, number):
             if act == "replace":
                 replaced.update(arguments)
-                self.submit(SMALL, f"{number}{len(replaced)}")
+                self.submit(upgrade_jobs.SMALL, f"{number}{len(replaced)}")
             getattr(self, act)(*arguments)
         cluster.program_of = lambda name: program
 
@@ -124,7 +72,7 @@
         """Replace a process, gracefully or not; the scheduler as `move` does."""
         cluster = self._cluster
         if name == cluster.scheduler():
-            number = self._random.choice(_SIGNALS)
+            number = self._random.choice(upgrade_jobs.SIGNALS)
             self._lose_scheduler(number)
             if number == signal.SIGSTOP:
                 self._end(name, signal.SIGTERM)
@@ -141,7 +89,7 @@
     def submit(self, kind, number):
         """Submit a job of a kind; return its id."""
         job_id = f"{kind}{number}"
-        document = make_job(kind, int(time.time() * 1000))
+        document = upgrade_jobs.make_job(kind, int(time.time() * 1000))
         self._documents[job_id] = document
         self._call_until_done("POST", job_id, document)
         self._accepted[job_id] = clock()
@@ -150,7 +98,7 @@
 
     def submit_large(self, number):
         """Submit a job, and wait until its progress is split into rows."""
-        prefix = f"units/{self.submit(LARGE, number)}/"
+        prefix = f"units/{self.submit(upgrade_jobs.LARGE, number)}/"
         wait_for(
             lambda: self._cluster.row_keys(prefix),
             TIMEOUT_S,
@@ -170,12 +118,12 @@
 
     def fail_gang(self, number):
         """Let members of a gang fail, and move the scheduler between their reports."""
-        cluster, job_id = self._cluster, f"{GANG}{number}"
+        cluster, job_id = self._cluster, f"{upgrade_jobs.GANG}{number}"
         faulty = self._random.sample(cluster.workers, self._random.randint(2, WORKERS))
         for name in faulty:
             fault = {"count": 1, "after_s": _FAILS_AFTER_S, "job": job_id}
             assert cluster.disturb_worker(name, "fail_starts", **fault)
-        self.submit(GANG, number)
+        self.submit(upgrade_jobs.GANG, number)
         places = wait_for(
             lambda: self._places(job_id), TIMEOUT_S, f"the gang {job_id} has started"
         )
@@ -189,7 +137,7 @@
             TIMEOUT_S,
             f"a failed member of {job_id} is recorded at {heard}",
         )
-        number = self._random.choice(_SIGNALS)
+        number = self._random.choice(upgrade_jobs.SIGNALS)
         name = self._lose_scheduler(number)
         for agent in unheard:
             cluster.signal(agent, signal.SIGCONT)
@@ -204,7 +152,7 @@
         Raises `AssertionError` with the faults, `TimeoutError` for a job that is lost.
         """
         for job_id in self._documents:
-            if job_id.startswith(LASTING):
+            if job_id.startswith(upgrade_jobs.LASTING):
                 self.cancel(job_id)
         for job_id in self._documents:
             self._cluster.wait_for_state(job_id, self._end_of(job_id))
@@ -237,7 +185,7 @@
             f"{task} was not done"
             for job_id, document in self._documents.items()
             if self._end_of(job_id) == "completed"
-            for task in _tasks(job_id, document)
+            for task in upgrade_jobs.task_names(job_id, document)
             if task not in done
         ]
 
@@ -319,7 +267,7 @@
             for _, kind, task, *_ in self._cluster.history(name)
             if kind == "start" and task.startswith(f"{job_id}.")
         ]
-        return names if len(names) >= MEMBERS else None
+        return names if len(names) >= upgrade_jobs.MEMBERS else None
 
     def _has_recorded(self, worker, job_id):
         return any(
@@ -332,16 +280,6 @@
     return [event for event in events if event[1] == "start"]
 
 
-def _tasks(job_id, document):
-    """Return the names of all tasks of a job."""
-    return [
-        f"{job_id}.{occurrence}.{step}.{index}"
-        for occurrence in range(document.get("repetitions", 1))
-        for step, fields in enumerate(document["steps"])
-        for index in range(fields["count"])
-    ]
-
-
 def roll(folder, first, second, seed=1, passes=3):
     """Replace all processes of a cluster by another build, back, and so on.
 
--- a/tests/test_upgrade.py
+++ b/tests/test_upgrade.py
@@ -12,7 +12,13 @@
 
 import pytest
 
-from samphiredeal.standins import landings, upgrade, upgrade_cluster, upgrade_roll
+from samphiredeal.standins import (
+    landings,
+    upgrade,
+    upgrade_cluster,
+    upgrade_jobs,
+    upgrade_roll,
+)
 
 SEED = 1
 
@@ -80,7 +86,7 @@
     names = ["entry-0", "entry-1", "agent-worker-0"]
 
     def plan(seed):
-        return upgrade_roll.plan_pass(random.Random(seed), names, 0)
+        return upgrade_jobs.plan_pass(random.Random(seed), names, 0)
 
     assert plan(1) == plan(1) != plan(2)
     for seed in range(20):
