make upgrade: gangs that outlast the starts before theirs

Cause: the members on stand-in workers do not wait for each other; two were done after 6 s, while the start of the third waited behind 1000 starts of the large job at one agent for 6.8 s. On the platform no member is done without the others.

Gangs run for 15 s, the large job is spread over the workers, and a gang that ends so is told first.

--- a/packages/standins/src/samphiredeal/standins/upgrade_cluster.py
+++ b/packages/standins/src/samphiredeal/standins/upgrade_cluster.py
@@ -128,3 +128,25 @@
         *(f"{task} completed twice" for task in completed if completed[task] > 1),
         *(f"{task} has two runs {run}" for (task, run), n in started.items() if n > 1),
     ]
+
+
+def gangs_unlike_the_platform(events, job_prefix, members):
+    """Return a line for each run of a gang that no worker of the platform would do.
+
+    Members on stand-in workers may be done although another one has not started; other
+    faults of a play may follow from it. Jobs with the prefix have gangs of `members`.
+    """
+    started, done = collections.defaultdict(list), collections.defaultdict(list)
+    for at, kind, task, run, how in events:
+        if not task.startswith(job_prefix):
+            continue
+        gang = task.rpartition(".")[0], run
+        if kind == "start":
+            started[gang].append(at)
+        elif how == "done":
+            done[gang].append(at)
+    return [
+        f"the stand-ins end {gang} run {run} before all its members have started"
+        for (gang, run), ends in done.items()
+        if sum(at < min(ends) for at in started[gang, run]) < members
+    ]
--- a/packages/standins/src/samphiredeal/standins/upgrade_jobs.py
+++ b/packages/standins/src/samphiredeal/standins/upgrade_jobs.py
@@ -6,11 +6,13 @@
 MEMBERS = 3
 SIGNALS = (signal.SIGTERM, signal.SIGKILL, signal.SIGSTOP)
 _STEP = {"count": 3, "cpu": 1000, "mem-mb": 1000, "gpu": 1}
-# The members are on workers of their own. They run for long enough that none is done
+# The members are on workers of their own, and do not wait for each other as on the
+# platform. They run for long enough that none is done before all have started, or
 # before the scheduler hears that another one has failed.
 _GANG = {**_STEP, "count": MEMBERS, "gang": True, "gpu": 4, "anti-affinity": 1}
-# More tasks than fit into one row.
-_LARGE = {"count": 1000, "cpu": 10, "mem-mb": 10, "gpu": 0}
+# More tasks than fit into one row. They are on all workers, so that no agent has many
+# starts to make before those of other jobs.
+_LARGE = {"count": 1000, "cpu": 10, "mem-mb": 10, "gpu": 0, "anti-affinity": 300}
 
 GANG, LARGE, RUNNING, WAITING, LASTING = "a", "b", "c", "d", "e"
 REPEATED, SMALL = "f", "1"
@@ -19,7 +21,7 @@
 def make_job(kind, now_ms=0):
     """Return the document of a job; the ids of jobs of a kind begin with it."""
     return {
-        GANG: lambda: _job(6.0, _GANG),
+        GANG: lambda: _job(15.0, _GANG),
         LARGE: lambda: _job(5.0, _LARGE, {**_LARGE, "after": [0]}),
         RUNNING: lambda: _job(60.0, _STEP),
         WAITING: lambda: _job(1.0, {**_STEP, "requirements": "nowhere"}),
--- a/packages/standins/src/samphiredeal/standins/upgrade_roll.py
+++ b/packages/standins/src/samphiredeal/standins/upgrade_roll.py
@@ -22,7 +22,12 @@
 from samphiredeal.standins import soak_checks, upgrade_jobs
 from samphiredeal.standins.launch import STARTUP_TIMEOUT_S, wait_for
 from samphiredeal.standins.soak_calls import StateAsker, clock
-from samphiredeal.standins.upgrade_cluster import TIMEOUT_S, MixedCluster, faults_of
+from samphiredeal.standins.upgrade_cluster import (
+    TIMEOUT_S,
+    MixedCluster,
+    faults_of,
+    gangs_unlike_the_platform,
+)
 
 ENTRIES = 3
 WORKERS = 4
@@ -159,6 +164,7 @@
         self.stop()
         events = self._cluster.events()
         faults = [
+            *gangs_unlike_the_platform(events, upgrade_jobs.GANG, upgrade_jobs.MEMBERS),
             *faults_of(events),
             *self._tasks_not_done(events),
             *self._violations(),
@@ -170,8 +176,9 @@
             if how == "failed"
         }
         assert failed, "no member of a gang has failed"
+        starts = sum(kind == "start" for _, kind, *_ in events)
         return (
-            f"{len(self._documents)} jobs in {len(_starts(events))} runs of tasks, "
+            f"{len(self._documents)} jobs in {starts} runs of tasks, "
             f"{len(failed)} runs of gangs failed; scheduler: {' '.join(self.moves)}"
         )
 
@@ -276,10 +283,6 @@
         )
 
 
-def _starts(events):
-    return [event for event in events if event[1] == "start"]
-
-
 def roll(folder, first, second, seed=1, passes=3):
     """Replace all processes of a cluster by another build, back, and so on.
 
--- a/tests/test_upgrade.py
+++ b/tests/test_upgrade.py
@@ -68,6 +68,21 @@
     assert upgrade_cluster.faults_of(events) == ["a.0.0.0 has two runs 1"]
 
 
+# Guards against a play that blames a build for what only stand-in workers do.
+@pytest.mark.parametrize(("last_start", "is_told"), [(2.0, False), (5.0, True)])
+def test_gang_that_is_done_before_its_last_start_is_told(last_start, is_told):
+    events = [
+        (1.0, "start", "a1.0.0.0", 1, ""),
+        (last_start, "start", "a1.0.0.1", 1, ""),
+        (4.0, "end", "a1.0.0.0", 1, "done"),
+        (1.0, "start", "b1.0.0.0", 1, ""),
+        (2.0, "end", "b1.0.0.0", 1, "done"),
+    ]
+    told = upgrade_cluster.gangs_unlike_the_platform(events, "a", 2)
+    line = "the stand-ins end a1.0.0 run 1 before all its members have started"
+    assert told == ([line] if is_told else [])
+
+
 @pytest.mark.parametrize("revision", landings.LANDINGS)
 def test_landing_runs_its_own_sources(revision, tmp_path):
     command = landings.build(revision, folder=tmp_path)
