Tests: a checkpoint that is lost by rows of different age (red)

Of two records of one run, the join takes the checkpoint of the row that is read last, whichever was written last. A write that has room for three of a gang's four rows leaves the newest checkpoint in three of them, and a new scheduler starts from the fourth's.

--- a/packages/entry/tests/test_progress_store.py
+++ b/packages/entry/tests/test_progress_store.py
@@ -5,11 +5,14 @@
 """
 
 import pytest
-from graph_builders import make_facts, make_scheduler
+from graph_builders import make_facts, make_record, make_scheduler, make_step
 from progress_rows_store import LIMITS, make_large, make_store
+from twisted.internet.task import Clock
 
+from samphiredeal.entry.graphs.work import WorkView
 from samphiredeal.model import runs
 from samphiredeal.model.runs import Ended
+from samphiredeal.platform.table import Row
 from samphiredeal.policy.graphs import records
 
 
@@ -291,3 +294,36 @@
     restored = taken_over.scheduler.jobs["a"]
     assert restored.units["0.0"].failures == 1
     assert restored.active
+
+
+# Guards against work of a gang that is saved and done once more: some of its rows have
+# the newest checkpoint, and the last one read has an older one.
+@pytest.mark.parametrize("others", range(7))
+def test_newest_checkpoint_is_restored_from_rows_of_different_age(others):
+    step = make_step(128, 1, gang=True, estimate_ms=10_000, checkpointing=True)
+    record = make_record("a", [step])
+    smaller = [make_large(1, id=f"b{number}") for number in range(others)]
+    store = make_store(*smaller, record, limits=LIMITS._replace(row_bytes=1000))
+    store.write_all()
+    job = store.scheduler.jobs["a"]
+    running = {}
+    for placement in job.units["0.0"].placements.values():
+        running.setdefault(placement.worker, []).append(
+            runs.Running(placement.task, 1, "saved", 30)
+        )
+    for name, listed in running.items():
+        report = runs.Report(make_facts(name), running=tuple(listed))
+        store.scheduler.apply_report(name, report, 1.0)
+    for other in smaller:
+        one = store.scheduler.jobs[other.id]
+        one.touch(next(iter(one.units.values())))
+    store.scheduler.mark_new_checkpoints()
+    store.write_next()
+    view = WorkView(Clock(), lambda: None)
+    view.on_rows(
+        [Row(key, store.versions[key], store.rows[key]) for key in store.rows], True
+    )
+    rows = view.unit_rows_of("a").values()
+    stored = {row.units["0.0"].checkpoint for row in rows}
+    joined = records.join(view.progress["a"].value, rows)
+    assert joined.units["0.0"].checkpoint == max(stored)
--- a/tests/progress_rows_store.py
+++ b/tests/progress_rows_store.py
@@ -21,6 +21,7 @@
         self.scheduler = scheduler
         self.limits = limits
         self.rows = {}
+        self.versions = {}
         self.version = 0
         self.progress = ProgressStore(limits, self.is_end_stored)
         self.writes = 0
@@ -68,6 +69,7 @@
         self.writes += 1
         for key, value in puts:
             self.rows[key] = value
+            self.versions[key] = self.version
         for key in deletes:
             self.rows.pop(key, None)
 
@@ -85,7 +87,8 @@
             if key.startswith(prefix)
         }
         store = Store(GraphScheduler(), self.limits)
-        store.rows, store.version = self.rows, self.version
+        store.rows, store.versions = self.rows, self.versions
+        store.version = self.version
         store.progress.track(record.id, self.version, rows, head.units)
         store.scheduler.add_job(record, records.join(head, rows.values()), 0.0)
         return store
