Tests: a job that begins anew as its progress cannot be read (red)

A row of a job's progress that cannot be read is logged and left out, and the job then counts as one that has not begun: its finished task is started once more, as run 2. Entries that run on keep the last row that they could read.

1 of 1 fails: starts [1, 2] instead of [1].

--- a/tests/test_internal_errors.py
+++ b/tests/test_internal_errors.py
@@ -4,6 +4,8 @@
 which it interrupted is done again.
 """
 
+import json
+
 from builders import make_world
 from graph_world import GraphWorld, make_graph_world
 from twisted.internet.defer import ensureDeferred, fail
@@ -169,3 +171,22 @@
     assert len(failures) == slots
     outcome = world.request("entry-0", b"body", "last")
     assert outcome.verdict == verdict.RAN, outcome
+
+
+# Guards against a finished task that runs again: a later build has added a field to a
+# job's progress, and entries of this build that start after that cannot read it.
+def test_job_whose_progress_cannot_be_read_does_not_begin_anew():
+    world = make_graph_world()
+    world.submit("e0", "a1", [*STEPS, {**STEPS[0], "after": [0]}])
+    world.run_until(lambda: world.event_log.recorded, 4.0)
+    key = work.progress_key("a1")
+    for name in ("e0", "e1", "e2"):
+        world.kill(name)
+    world.run(1.0)
+    row = json.loads(world.table.rows[key].value)
+    row[4] = {unit: [*fields, "new"] for unit, fields in row[4].items()}
+    world.table.write([], [Put(key, json.dumps(row).encode())])
+    for name in ("e0", "e1", "e2"):
+        world.restart(name)
+    world.run(8.0)
+    assert [start.run for start in world.event_log.starts("a1.0.0.0")] == [1]
