Tests: a /v1 job that fails after one attempt on several workers (red)

A job counts as failing by itself once it has failed on three workers. One attempt of a job of three members that all fail, on a worker each, names three workers at once, and the job is finished as failed without a second attempt: a count for each member, not for each attempt.

--- a/packages/policy/tests/test_health.py
+++ b/packages/policy/tests/test_health.py
@@ -87,3 +87,17 @@
             scheduler.ended(attempt.id, 0.0, "cancelled")
         scheduler.decide(0.0)
     assert not scheduler.health.quarantines
+
+
+# Guards against a job that is finished as failed after one attempt, as several members
+# of it have failed together on as many workers.
+def test_attempt_that_fails_on_several_workers_counts_once():
+    scheduler = make_scheduler(*(f"w{n}" for n in range(2 * JOB_FAILURES)))
+    job = make_job("gang", "guest", accelerators=8, members=JOB_FAILURES)
+    action = start(scheduler, job, 0.0)
+    blame = tuple(action.places)
+    assert len(blame) == JOB_FAILURES
+    scheduler.ended(action.attempt_id, 1.0, "failed", blame=blame)
+    actions = scheduler.decide(1.0)
+    assert [one for one in actions if isinstance(one, FinishJob)] == []
+    assert [one.job.id for one in actions if isinstance(one, StartAttempt)] == ["gang"]
