Join the rows of a job in the order in which they were written

Work of a gang that was saved could be done once more after a takeover. A write that has room for some rows of a gang leaves a newer checkpoint in these than in the others, and of two records of one run the join took the checkpoint of the row that it read last, in no order. Rows are now joined by their versions, oldest first.

--- a/packages/entry/src/samphiredeal/entry/graphs/work.py
+++ b/packages/entry/src/samphiredeal/entry/graphs/work.py
@@ -321,13 +321,11 @@
         return {**self.workers, **{name: self.places[name] for name in names}}
 
     def unit_rows_of(self, job_id):
-        """Return the `UnitRows` of a job by the names of their rows."""
+        """Return the `UnitRows` of a job by the names of their rows, oldest first."""
         prefix = job_id + "/"
-        return {
-            name.removeprefix(prefix): stored.value
-            for name, stored in self.units.items()
-            if name.startswith(prefix)
-        }
+        found = [item for item in self.units.items() if item[0].startswith(prefix)]
+        found.sort(key=lambda item: item[1].version)
+        return {name.removeprefix(prefix): stored.value for name, stored in found}
 
     def state_of(self, job_id):
         """Return the state of a job as shown to callers, or None if unknown.
--- a/packages/policy/src/samphiredeal/policy/graphs/records.py
+++ b/packages/policy/src/samphiredeal/policy/graphs/records.py
@@ -213,7 +213,7 @@
 
 
 def join(progress, rows):
-    """Return the `Progress` of a job with the units of its `UnitRows`.
+    """Return the `Progress` of a job with the units of its `UnitRows`, oldest first.
 
     The members of a gang may be in several rows, of which some may be older: a gang
     is started anew only after all its earlier placements are gone. A unit that is in
