Store with a gang's charge the workers that have failed it

A gang could use up its attempts on the workers that had failed its first run, with others at hand, where the scheduler was lost in between: a new one did not know on which workers a unit had failed.

They are stored with the charged run, in the same record. Its failures, which stood there too and were read from nowhere else, are left out: they are in the unit's record of the same row. Single tasks are stored as before: one record more for each of 32 tasks could outgrow a row.

--- a/packages/policy/src/samphiredeal/policy/graphs/records.py
+++ b/packages/policy/src/samphiredeal/policy/graphs/records.py
@@ -44,8 +44,9 @@
 class UnitRecord(NamedTuple):
     """State of a unit that has been started or is done.
 
-    `failed_run` is the last run of a gang that is counted in `failures`. It is stored
-    as a record of its own in the same row, see `encode`.
+    Of a gang, `failed_run` is the last run that is counted in `failures`, and
+    `failed_on` are the workers that it avoids since. They are stored as a record of
+    their own in the same row, see `encode`.
     """
 
     run: Count
@@ -54,6 +55,7 @@
     checkpoint: str = ""
     places: tuple[PlaceRecord, ...] = ()
     failed_run: Count = 0
+    failed_on: tuple[str, ...] = ()
 
 
 class Progress(NamedTuple):
@@ -106,13 +108,13 @@
 def encode(record):
     """Return a record encoded as JSON bytes.
 
-    The run of a gang that was charged last, and the failures with it, are one more
-    record among the units of the same row, so that every row which a build has written
-    can be read by the earlier ones.
+    The run of a gang that was charged last, and the workers on which it has failed, are
+    one more record among the units of the same row, so that every row which a build has
+    written can be read by the earlier ones.
 
-    >>> unit = UnitRecord(3, failures=2, failed_run=3)
+    >>> unit = UnitRecord(3, failures=2, failed_run=2, failed_on=("w1",))
     >>> encode(UnitRows({"0.0": unit}))
-    b'[{"0.0":[3,false,2,"",[]],"0.0/charged":[3,false,2]}]'
+    b'[{"0.0":[3,false,2,"",[]],"0.0/charged":[2,false,0,"",[[0,"w1",""]]]}]'
     """
     if isinstance(record, Progress | UnitRows):
         record = record._replace(units=_encodable_units(record.units))
@@ -124,7 +126,9 @@
     for key, unit in units.items():
         encodable[key] = unit[:_UNIT_FIELDS]
         if unit.failed_run:
-            charge = UnitRecord(unit.failed_run, failures=unit.failures)
+            workers = enumerate(unit.failed_on)
+            places = tuple(PlaceRecord(number, name, "") for number, name in workers)
+            charge = UnitRecord(unit.failed_run, places=places)
             encodable[key + _CHARGE_SUFFIX] = without_trailing_defaults(charge)
     return encodable
 
@@ -139,8 +143,8 @@
         if unit_key in units:
             charge = stored[key]
             units[unit_key] = units[unit_key]._replace(
-                failures=max(units[unit_key].failures, charge.failures),
                 failed_run=charge.run,
+                failed_on=tuple(place.worker for place in charge.places),
             )
     return units
 
@@ -207,8 +211,9 @@
         unit.failures,
         unit.checkpoint,
         tuple(PlaceRecord(p.index, p.worker, p.life) for p in placements),
-        # The only task of another unit is in one row with the failures.
+        # Only a gang may have members left that report a charged run, or older rows.
         unit.failed_run if unit.spec.gang else 0,
+        tuple(unit.failed_on) if unit.spec.gang and unit.failed_run else (),
     )
 
 
@@ -231,6 +236,7 @@
 
 def _merge(first, second):
     older, newer = sorted((first, second), key=lambda record: record.run)
+    charged = max(newer, older, key=lambda record: record.failed_run)
     places = newer.places
     if older.run == newer.run:
         known = {place.index for place in places}
@@ -238,7 +244,8 @@
     return newer._replace(
         done=first.done or second.done,
         failures=max(first.failures, second.failures),
-        failed_run=max(first.failed_run, second.failed_run),
+        failed_run=charged.failed_run,
+        failed_on=charged.failed_on,
         places=places,
     )
 
@@ -264,6 +271,7 @@
         unit.done_at = now if stored.done else None
         unit.failures = stored.failures
         unit.failed_run = _charged_run(stored)
+        unit.failed_on = list(stored.failed_on)
         unit.checkpoint = stored.checkpoint
         members = set(unit.indexes)
         for place in {place.index: place for place in stored.places}.values():
@@ -288,8 +296,10 @@
 def _charged_run(stored):
     """Return the last run that is counted in the failures of a `UnitRecord`.
 
-    Earlier builds store it for a short time or not at all. If as many runs have failed
-    as were started, the last one is among them.
+    be1a70d stores it only while members of the run are left, ae33cb2 not at all. If as
+    many runs have failed as were started, the last one is among them. ae33cb2 counts
+    each failed member of a gang; then a run of which none has failed yet may be taken
+    for a charged one, but no more runs can fail than the job has attempts.
     """
     return stored.run if stored.failures >= stored.run else stored.failed_run
 
--- a/packages/policy/tests/test_gang_attempts.py
+++ b/packages/policy/tests/test_gang_attempts.py
@@ -152,6 +152,7 @@
         bench.end(name, task, run, runs.FAILED)
         bench.report(name)
         record = records.unit_record(unit, unit.placements.values())
+        assert record.failed_on == tuple(unit.failed_on)
         row = records.encode(records.UnitRows({"0.0": record}))
         assert records.decode(row, records.UnitRows).units == {"0.0": record}
         assert (record.failures, record.failed_run) == (1, 1)
@@ -171,7 +172,8 @@
 
 
 # Guards against a second attempt that is charged for a run which an earlier build has
-# charged: be1a70d stores the run in a sixth field, ae33cb2 only the failures.
+# charged: be1a70d stores the run in a sixth field, ae33cb2 only the failures. In the
+# last case the first run has failed, and the end is the first of the second run.
 @pytest.mark.parametrize(
     ("row", "failures"),
     [
--- a/packages/policy/tests/test_record_formats.py
+++ b/packages/policy/tests/test_record_formats.py
@@ -18,7 +18,7 @@
     "0.0": UnitRecord(2, False, 1, "c1", (PlaceRecord(0, "w0", "i-w0/1"),)),
     "0.1.0": UnitRecord(1, True),
 }
-CHARGED = {"0.0": UnitRecord(2, False, 1, "c1", failed_run=1)}
+CHARGED = {"0.0": UnitRecord(2, False, 1, "c1", failed_run=1, failed_on=("w2",))}
 RECORDS = [
     make_record("a", [make_step(3, 2, gang=True), make_step(after=(0,))]),
     make_record("a", advice=AdviceTerms(0.5, 0.1, 10.0)),
--- a/tests/test_record_fuzz.py
+++ b/tests/test_record_fuzz.py
@@ -12,7 +12,7 @@
 
 PLACES = (PlaceRecord(0, "w0", "i-w0/1"), PlaceRecord(1, "w1", "i-w1/1"))
 UNITS = {
-    "0.0": UnitRecord(2, False, 1, "c1", PLACES, failed_run=1),
+    "0.0": UnitRecord(2, False, 1, "c1", PLACES, failed_run=1, failed_on=("w2",)),
     "0.1.0": UnitRecord(1, True),
 }
 JOB = make_record("a", [make_step(3, 2, gang=True), make_step(after=(0,))])
