Count attempts of a /v1 job, not the workers on which one attempt fails

A job was finished as failed after one attempt, if three of its members failed in it on three workers: it counted as one that fails everywhere.

Evidence: test_attempt_that_fails_on_several_workers_counts_once failed before; test_health, test_scheduler, test_takeover and test_gang_whole pass.

--- a/packages/policy/src/samphiredeal/policy/health.py
+++ b/packages/policy/src/samphiredeal/policy/health.py
@@ -2,8 +2,8 @@
 
 A worker on which several different jobs failed in a row is quarantined, each time for
 longer, and becomes usable again through a probe: one small job whose success clears
-the worker. A job that failed on several workers is finished as failed, and its
-failures no longer count against those workers.
+the worker. A job of which several attempts failed, each on another worker, is finished
+as failed, and its failures no longer count against those workers.
 """
 
 from typing import NamedTuple
@@ -27,6 +27,7 @@
 
     def __init__(self):
         self._by_worker = {}
+        # By job: the workers on which it failed, each with the first attempt that did.
         self._by_job = {}
         self._quarantines = {}
 
@@ -35,9 +36,9 @@
         """Quarantines by worker."""
         return self._quarantines
 
-    def failed(self, worker, job_id, now):
+    def failed(self, worker, job_id, attempt_id, now):
         """Record a failure; return whether it puts the worker in quarantine."""
-        self._by_job.setdefault(job_id, set()).add(worker)
+        self._by_job.setdefault(job_id, {}).setdefault(worker, attempt_id)
         failed_jobs = self._by_worker.setdefault(worker, set())
         failed_jobs.add(job_id)
         current = self._quarantines.get(worker)
@@ -58,20 +59,24 @@
         return self._quarantines.pop(worker, None) is not None
 
     def failed_too_often(self, job_id):
-        """Return whether a job failed on at least `JOB_FAILURES` workers."""
-        return len(self._by_job.get(job_id, ())) >= JOB_FAILURES
+        """Return whether `JOB_FAILURES` attempts failed, each on another worker.
+
+        An attempt may fail on several workers at once.
+        """
+        return len(set(self._by_job.get(job_id, {}).values())) >= JOB_FAILURES
 
     def workers_failed_by(self, job_id):
         """Return the workers on which a job failed."""
-        return self._by_job.get(job_id, set())
+        return self._by_job.get(job_id, {}).keys()
 
     def forget_job(self, job_id):
         """Remove a finished job.
 
         Failures of a job that failed too often don't count against workers.
         """
-        workers = self._by_job.pop(job_id, set())
-        for worker in workers if len(workers) >= JOB_FAILURES else ():
+        is_at_fault = self.failed_too_often(job_id)
+        workers = self._by_job.pop(job_id, {})
+        for worker in workers if is_at_fault else ():
             self._by_worker.get(worker, set()).discard(job_id)
 
     def due_probes(self, now):
--- a/packages/policy/src/samphiredeal/policy/scheduler.py
+++ b/packages/policy/src/samphiredeal/policy/scheduler.py
@@ -323,7 +323,7 @@
             self._succeeded(attempt, workers, now)
         elif state == "cancelled":
             self._finish(job.id, "cancelled", "cancelled")
-        elif state == "failed" and self._fail(job, blame or workers, now):
+        elif state == "failed" and self._fail(attempt, blame or workers, now):
             return
         else:
             self._queue.add(
@@ -346,10 +346,11 @@
                 self._set_usable(name, True)
         self._finish(attempt.job.id, "done", "")
 
-    def _fail(self, job, workers, now):
+    def _fail(self, attempt, workers, now):
         """Record a failure; return whether the job was finished as failed."""
+        job = attempt.job
         for name in workers:
-            if self._health.failed(name, job.id, now):
+            if self._health.failed(name, job.id, attempt.id, now):
                 self._set_usable(name, False)
         if not job.repeatable:
             self._finish(job.id, "failed", "failed, and it is not repeatable")
