--- a/tests/charge_enumeration.py
+++ b/tests/charge_enumeration.py
@@ -252,17 +252,19 @@
     def load(self, job_id):
         """Return the (head, {name: unit rows}) of a job, or (None, {}) as a scheduler.
 
-        Rows of units count only for a head that says that there are any.
+        Rows of units count only for a head that says that there are any. They are in
+        the order in which they were written.
         """
         key = f"progress/{job_id}"
         if key not in self.rows:
             return None, {}
         head = records.decode(self.rows[key], records.Progress)
         prefix = f"units/{job_id}/"
+        keys = [key for key in self.rows if key.startswith(prefix) and head.is_split]
+        keys.sort(key=self.versions.get)
         units = {
-            key.removeprefix(prefix): records.decode(value, records.UnitRows)
-            for key, value in self.rows.items()
-            if key.startswith(prefix) and head.is_split
+            key.removeprefix(prefix): records.decode(self.rows[key], records.UnitRows)
+            for key in keys
         }
         return head, units
 
