--- a/packages/policy/src/samphiredeal/policy/graphs/fitting.py
+++ b/packages/policy/src/samphiredeal/policy/graphs/fitting.py
@@ -28,9 +28,7 @@
     return (
         worker.reachable
         and not worker.leaving
-        and not worker.foreign_runs
-        and not worker.has_unknown_shapes
-        and not worker.has_long_list
+        and not worker.is_closed
         and worker.service == unit.job.record.service
         and worker.zone not in state.zones_out
         and (not unit.spec.label or unit.spec.label in worker.labels)
@@ -42,6 +40,8 @@
     """Return whether the unit and the tasks on the worker would interfere."""
     if any(interferes(unit, p.unit) for p in worker.placements.values()):
         return True
+    if not worker.held_runs:
+        return False
     steps = worker.held_runs.values()
     return any(_interferes_with(unit, step) for step in steps if step is not None)
 
--- a/packages/policy/src/samphiredeal/policy/graphs/holding.py
+++ b/packages/policy/src/samphiredeal/policy/graphs/holding.py
@@ -34,6 +34,7 @@
             foreign.add(run)
     worker.foreign_runs = frozenset(foreign)
     worker.set_held_runs(held)
+    worker.update_closed()
 
 
 def check_list(scheduler, worker, report):
@@ -45,6 +46,7 @@
     worker.has_long_list = is_long and any(
         is_held_task(scheduler, ended.task) for ended in report.ended
     )
+    worker.update_closed()
 
 
 def _step_of(scheduler, run):
--- a/packages/policy/src/samphiredeal/policy/graphs/state.py
+++ b/packages/policy/src/samphiredeal/policy/graphs/state.py
@@ -424,6 +424,8 @@
         # Whether its list of ends may soon be too long to name further ones, as those
         # of a held job stay in it.
         self.has_long_list = False
+        # Whether it gets no new work for one of these reasons or a foreign run.
+        self.is_closed = False
         self.failures = []
         self.successes = []
         self.stalled_at = None
@@ -453,6 +455,14 @@
         """Forget the runs without a placement: none of them is here any more."""
         self.unplaced_runs = self.unplaced_pending = self.foreign_runs = frozenset()
         self.set_held_runs({})
+        self.has_long_list = False
+        self.update_closed()
+
+    def update_closed(self):
+        """Determine anew whether the worker gets no new work."""
+        self.is_closed = bool(
+            self.foreign_runs or self.has_unknown_shapes or self.has_long_list
+        )
 
     def set_held_runs(self, runs):
         """Replace the runs of held jobs, and their use of capacity."""
