--- a/tests/process_gangs.py
+++ b/tests/process_gangs.py
@@ -25,10 +25,10 @@
 from samphiredeal.model import runs
 from samphiredeal.standins.graph_cluster import post
 from samphiredeal.standins.launch import wait_for
-from samphiredeal.standins.upgrade import THIS_BUILD, MixedCluster
+from samphiredeal.standins.upgrade_cluster import THIS_BUILD, MixedCluster
 
 _TIMEOUT_S = 60
-_ZONES = ("zone-a", "zone-b", "zone-c")
+_ENTRIES = 3
 _FINAL_STATES = ("completed", "failed")
 # Members fail this long after their start, and up to a spread later.
 _FAIL_AFTER_S = 0.8
@@ -68,23 +68,9 @@
 
 
 class GangCluster(MixedCluster):
-    """Three entries, and workers of eight accelerators with their agents."""
-
-    def __init__(self, folder, program_of, workers):
-        super().__init__(folder, program_of)
-        self.workers = [f"worker-{number}" for number in range(workers)]
-
-    def start_all(self):
-        """Start all processes."""
-        self.start_standin("platform", "platform")
-        self.configure()
-        for number, zone in enumerate(_ZONES):
-            self.start_graph_entry(f"entry-{number}", zone)
-        for number, name in enumerate(self.workers):
-            self.start_graph_worker(name, _ZONES[number % len(_ZONES)])
-        self.wait_until_ready()
-
-    def events(self, job_ids, kind):
+    """Entries, and workers of eight accelerators with their agents."""
+
+    def events_of(self, job_ids, kind):
         """Return (task, run, how) of the starts or ends of these jobs' members."""
         return [
             (task, run, how)
@@ -138,7 +124,7 @@
     yield
     first = cluster.scheduler()
     cluster.kill_and_start([first])
-    _wait_for_takeover(cluster, first)
+    cluster.wait_for_takeover(first)
     cluster.kill_and_start([cluster.scheduler()])
 
 
@@ -146,7 +132,7 @@
     yield
     frozen = cluster.scheduler()
     cluster.signal(frozen, signal.SIGSTOP)
-    _wait_for_takeover(cluster, frozen)
+    cluster.wait_for_takeover(frozen)
     time.sleep(0.3)
     cluster.signal(frozen, signal.SIGCONT)
 
@@ -223,17 +209,13 @@
     return [f"agent-{name}" for name in random.sample(workers, count)]
 
 
-def _wait_for_takeover(cluster, former):
-    wait_for(lambda: cluster.scheduler() != former, _TIMEOUT_S, f"{former} is replaced")
-
-
 @contextlib.contextmanager
 def running_cluster(folder, workers=12, program_of=lambda name: THIS_BUILD):
     """Provide a ready `GangCluster`."""
     os.makedirs(folder, exist_ok=True)
-    cluster = GangCluster(folder, program_of, workers)
+    cluster = GangCluster(folder, program_of)
     try:
-        cluster.start_all()
+        cluster.start_all(_ENTRIES, workers)
         yield cluster
     finally:
         cluster.close()
@@ -302,7 +284,7 @@
     """
 
     def has_come():
-        events = cluster.events(job_ids, kind)
+        events = cluster.events_of(job_ids, kind)
         return any(
             run >= number and (kind == "start" or how == runs.FAILED)
             for _task, run, how in events
@@ -327,7 +309,7 @@
 
 def _look_at(cluster, sizes, told):
     failed = {job_id: {} for job_id in sizes}
-    for task, run, how in cluster.events(sizes, "end"):
+    for task, run, how in cluster.events_of(sizes, "end"):
         job_id, _occurrence, step, _index = task.split(".")
         if how == runs.FAILED:
             members = failed[job_id].setdefault(int(step), collections.Counter())
@@ -366,7 +348,7 @@
     parser.add_argument("--large", action="store_true")
     parser.add_argument("--loss", choices=[loss.__name__ for loss in LOSSES])
     parser.add_argument("--program", default="-")
-    parser.add_argument("--entry-programs", nargs=len(_ZONES))
+    parser.add_argument("--entry-programs", nargs=_ENTRIES)
     arguments = parser.parse_args()
     rng = random.Random(arguments.seed)
     losses = [one for one in LOSSES if arguments.loss in (None, one.__name__)]
