Look at listed runs again as a job is held that could not be loaded

Its runs were foreign until the next report of their workers. Not seen outside of reading the code. Measured: test_unreadable_rows.py, test_internal_errors.py, test_held_jobs.py and test_unreadable_view.py: 76 passed.

--- a/packages/entry/src/samphiredeal/entry/graphs/dispatcher.py
+++ b/packages/entry/src/samphiredeal/entry/graphs/dispatcher.py
@@ -134,7 +134,9 @@
             if job_id not in scheduler.jobs and not view.is_held(job_id):
                 self._load_job(job_id, now, job_id in released)
         if view.unreadable.revision != self._unreadable_revision:
+            # Some could not be loaded.
             self._hold_unreadable_jobs()
+            is_hold_changed = True
         for job_id in [one for one in scheduler.jobs if one not in view.jobs]:
             scheduler.forget_job(job_id)
             self._progress_store.forget(job_id)
