--- a/packages/policy/tests/test_held_jobs.py
+++ b/packages/policy/tests/test_held_jobs.py
@@ -120,6 +120,8 @@
     for _ in range(5):
         bench.step(0.5)
     assert bench.places("a") == ["w0"] and bench.places("c") == []
+    placements = bench.scheduler.workers["w0"].placements.values()
+    assert [one.stopping for one in placements] == [""]
     bench.end_all("a")
     bench.step(0.5)
     assert bench.state("a") == "running"
--- a/tests/test_unreadable_rows.py
+++ b/tests/test_unreadable_rows.py
@@ -293,6 +293,44 @@
     assert starts(world) == ["a1.0.0.0", "a1.0.1.0"]
 
 
+def test_scheduler_does_not_delete_an_ended_job_whose_row_becomes_unreadable():
+    world = make_graph_world()
+    world.submit("e0", "a1", [STEP])
+    world.run_until(lambda: world.state("e0", "a1") == "completed", 10.0)
+    scheduler = world.scheduler()
+    HiddenRows(world, ["progress/a1"])
+    world.run(160.0)
+    assert world.scheduler() == scheduler
+    assert {"job/a1", "progress/a1"} <= set(world.table.rows)
+
+
+# The scheduler hears of the row by a conflict, before the change reaches it.
+def test_row_that_a_write_finds_unreadable_is_not_overwritten():
+    world = make_graph_world()
+    begin_second_step(world)
+    scheduler = world.scheduler()
+    table = world.nodes[scheduler].process._work_follower._table
+    changes = table.changes
+
+    def leave_out(answer):
+        rows = [row for row in answer.rows if row.key != "progress/a1"]
+        return answer._replace(rows=rows)
+
+    table.changes = lambda *args: changes(*args).addCallback(leave_out)
+    world.run(1.0)
+    hidden = HiddenRows(world, ["progress/a1"])
+    version = world.table.rows["progress/a1"].version
+    world.run_until(lambda: "a1.0.1.0" in ends(world, runs.DONE), 10.0)
+    world.run(0.5)
+    assert world.table.rows["progress/a1"].version == version
+    table.changes = changes
+    world.run(1.0)
+    hidden.show()
+    world.run(3.0)
+    assert world.state(live_entry(world), "a1") == "completed"
+    assert starts(world) == ["a1.0.0.0", "a1.0.1.0"]
+
+
 # An error in one job's rows ended the loading of all jobs, in each try anew.
 def test_job_whose_rows_cannot_be_used_is_held_beside_others(monkeypatch):
     world = make_graph_world()
